--- a/balancer/message.go
+++ b/balancer/message.go
@@ -61,10 +61,11 @@
 	case *wire.Envelope_Beat:
 		return b.heard(now, m, e, body.Beat)
 	case *wire.Envelope_Probe:
-		b.witness(now, m, body.Probe)
+		if w, ok := b.Members.Witness(now, body.Probe); ok {
+			b.send(now, limiter.Liveness, m, &wire.Envelope{Body: &wire.Envelope_Witness{Witness: w}})
+		}
 	case *wire.Envelope_Witness:
-		age := time.Duration(min(body.Witness.GetAge(), maxAge)) * time.Millisecond
-		b.Members.Vouch(now, rattanwood.VMID(body.Witness.GetTarget()), age)
+		b.Members.Vouch(now, body.Witness)
 	case *wire.Envelope_Told:
 		return b.told(now, m, body.Told)
 	case *wire.Envelope_Batch:
@@ -74,7 +75,7 @@
 	case *wire.Envelope_Marks:
 		b.merge(now, body.Marks)
 	case *wire.Envelope_Roster:
-		b.enrol(body.Roster)
+		b.Members.Enrol(body.Roster)
 	case *wire.Envelope_Pull:
 		b.pulled(now, m, body.Pull)
 	default:
@@ -83,9 +84,6 @@
 	return nil
 }
 
-// maxAge is the largest age that a witness can report, in milliseconds.
-const maxAge = 1 << 40
-
 func (b *Balancer) heard(now time.Duration, m *detector.Member, e *wire.Envelope, beat *wire.Beat) error {
 	event, ok := b.Members.Heard(now, m.VM, rattanwood.Incarnation(e.GetLife()), beat, b.knowledge())
 	if !ok {
@@ -111,15 +109,6 @@
 	return nil
 }
 
-func (b *Balancer) witness(now time.Duration, m *detector.Member, p *wire.Probe) {
-	age, ok := b.Members.Silence(now, rattanwood.VMID(p.GetTarget()))
-	if !ok {
-		return
-	}
-	reply := &wire.Witness{Target: p.GetTarget(), Age: uint64(age / time.Millisecond)}
-	b.send(now, limiter.Liveness, m, &wire.Envelope{Body: &wire.Envelope_Witness{Witness: reply}})
-}
-
 func (b *Balancer) told(now time.Duration, m *detector.Member, t *wire.Told) error {
 	if len(t.GetFlows()) != len(t.GetUpstreams()) {
 		return &MessageError{VM: m.VM, Reason: ReasonUneven}
@@ -182,16 +171,6 @@
 	}
 }
 
-func (b *Balancer) enrol(r *wire.Roster) {
-	for _, w := range r.GetMembers() {
-		address, err := netip.ParseAddrPort(w.GetAddress())
-		if err != nil {
-			continue
-		}
-		b.Members.Add(rattanwood.VMID(w.GetVm()), address, rattanwood.DataCentre(w.GetCentre()))
-	}
-}
-
 func (b *Balancer) pulled(now time.Duration, m *detector.Member, p *wire.Pull) {
 	if p.GetMarks() {
 		w := &wire.Marks{}
--- a/design/design.go
+++ b/design/design.go
@@ -90,6 +90,14 @@
 			Response(StatusOK)
 		})
 	})
+	Error("unready", ErrorResult, "The balancer shouldn't get packets.")
+	Method("ready", func() {
+		HTTP(func() {
+			GET("/ready")
+			Response(StatusOK)
+			Response("unready", StatusServiceUnavailable)
+		})
+	})
 	Method("state", func() {
 		Payload(func() {
 			Attribute("rows", Int, "Largest number of flows to list", func() {
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -279,10 +279,23 @@
 	return min(now, sent+time.Duration(b.Held)*time.Microsecond), true
 }
 
-// Vouch takes in that a witness heard a member age ago.
-func (d *Detector) Vouch(now time.Duration, vm rattanwood.VMID, age time.Duration) {
-	m, known := d.rows[vm]
-	if known && age >= 0 && age < d.cfg.Suspect {
+// maxAge is the largest age that a witness can report, in milliseconds.
+const maxAge = 1 << 40
+
+// Witness answers a probe; ok is false if the target was never heard here.
+func (d *Detector) Witness(now time.Duration, p *wire.Probe) (w *wire.Witness, ok bool) {
+	age, ok := d.Silence(now, rattanwood.VMID(p.GetTarget()))
+	if !ok {
+		return nil, false
+	}
+	return &wire.Witness{Target: p.GetTarget(), Age: uint64(age / time.Millisecond)}, true
+}
+
+// Vouch takes in what a witness knows of a member.
+func (d *Detector) Vouch(now time.Duration, w *wire.Witness) {
+	m, known := d.rows[rattanwood.VMID(w.GetTarget())]
+	age := time.Duration(min(w.GetAge(), maxAge)) * time.Millisecond
+	if known && age < d.cfg.Suspect {
 		m.vouched = max(m.vouched, now-age)
 	}
 }
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -81,7 +81,7 @@
 			pair(a, b, 0, 5*time.Second, own, both)
 			for now := 5 * time.Second; now < 30*time.Second; now += step {
 				if test.vouch {
-					a.Vouch(now, "b", time.Second)
+					a.Vouch(now, &wire.Witness{Target: "b", Age: 1000})
 				}
 				a.Tick(now)
 			}
--- a/detector/roster.go
+++ b/detector/roster.go
@@ -51,6 +51,20 @@
 	if m.State != Alive {
 		m.Address = address
 	}
+	if centre != "" {
+		m.DataCentre = centre
+	}
+}
+
+// Enrol takes in the members that a peer names; entries without an address are passed over.
+func (d *Detector) Enrol(r *wire.Roster) {
+	for _, w := range r.GetMembers() {
+		address, err := netip.ParseAddrPort(w.GetAddress())
+		if err != nil {
+			continue
+		}
+		d.Add(rattanwood.VMID(w.GetVm()), address, rattanwood.DataCentre(w.GetCentre()))
+	}
 }
 
 // List takes in the platform's list of VMs; members that are dead and not listed are forgotten.
--- a/gen/http/operators/client/client.go
+++ b/gen/http/operators/client/client.go
@@ -20,6 +20,9 @@
 	// Health Doer is the HTTP client used to make requests to the health endpoint.
 	HealthDoer goahttp.Doer
 
+	// Ready Doer is the HTTP client used to make requests to the ready endpoint.
+	ReadyDoer goahttp.Doer
+
 	// State Doer is the HTTP client used to make requests to the state endpoint.
 	StateDoer goahttp.Doer
 
@@ -44,6 +47,7 @@
 ) *Client {
 	return &Client{
 		HealthDoer:          doer,
+		ReadyDoer:           doer,
 		StateDoer:           doer,
 		RestoreResponseBody: restoreBody,
 		scheme:              scheme,
@@ -72,6 +76,25 @@
 	}
 }
 
+// Ready returns an endpoint that makes HTTP requests to the operators service
+// ready server.
+func (c *Client) Ready() goa.Endpoint {
+	var (
+		decodeResponse = DecodeReadyResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildReadyRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.ReadyDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operators", "ready", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // State returns an endpoint that makes HTTP requests to the operators service
 // state server.
 func (c *Client) State() goa.Endpoint {
--- a/gen/http/operators/client/encode_decode.go
+++ b/gen/http/operators/client/encode_decode.go
@@ -74,6 +74,65 @@
 	}
 }
 
+// BuildReadyRequest instantiates a HTTP request object with method and path
+// set to call the "operators" service "ready" endpoint
+func (c *Client) BuildReadyRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ReadyOperatorsPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operators", "ready", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// DecodeReadyResponse returns a decoder for responses returned by the
+// operators ready endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeReadyResponse may return the following errors:
+//   - "unready" (type *goa.ServiceError): http.StatusServiceUnavailable
+//   - error: internal error
+func DecodeReadyResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			return nil, nil
+		case http.StatusServiceUnavailable:
+			var (
+				body ReadyUnreadyResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "ready", err)
+			}
+			err = ValidateReadyUnreadyResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "ready", err)
+			}
+			return nil, NewReadyUnready(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operators", "ready", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildStateRequest instantiates a HTTP request object with method and path
 // set to call the "operators" service "state" endpoint
 func (c *Client) BuildStateRequest(ctx context.Context, v any) (*http.Request, error) {
--- a/gen/http/operators/client/paths.go
+++ b/gen/http/operators/client/paths.go
@@ -12,6 +12,11 @@
 	return "/health"
 }
 
+// ReadyOperatorsPath returns the URL path to the operators service ready HTTP endpoint.
+func ReadyOperatorsPath() string {
+	return "/ready"
+}
+
 // StateOperatorsPath returns the URL path to the operators service state HTTP endpoint.
 func StateOperatorsPath() string {
 	return "/state"
--- a/gen/http/operators/client/types.go
+++ b/gen/http/operators/client/types.go
@@ -21,6 +21,24 @@
 	Version *uint64 `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
 }
 
+// ReadyUnreadyResponseBody is the type of the "operators" service "ready"
+// endpoint HTTP response body for the "unready" error.
+type ReadyUnreadyResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
 // NewHealthResultOK builds a "operators" service "health" endpoint result from
 // a HTTP "OK" response.
 func NewHealthResultOK(body *HealthResponseBody) *operators.HealthResult {
@@ -32,6 +50,20 @@
 	return v
 }
 
+// NewReadyUnready builds a operators service ready endpoint unready error.
+func NewReadyUnready(body *ReadyUnreadyResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
 // ValidateHealthResponseBody runs the validations defined on HealthResponseBody
 func ValidateHealthResponseBody(body *HealthResponseBody) (err error) {
 	if body.State == nil {
@@ -42,3 +74,27 @@
 	}
 	return
 }
+
+// ValidateReadyUnreadyResponseBody runs the validations defined on
+// ready_unready_response_body
+func ValidateReadyUnreadyResponseBody(body *ReadyUnreadyResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
--- a/gen/http/operators/server/encode_decode.go
+++ b/gen/http/operators/server/encode_decode.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 
@@ -29,6 +30,44 @@
 	}
 }
 
+// EncodeReadyResponse returns an encoder for responses returned by the
+// operators ready endpoint.
+func EncodeReadyResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		w.WriteHeader(http.StatusOK)
+		return nil
+	}
+}
+
+// EncodeReadyError returns an encoder for errors returned by the ready
+// operators endpoint.
+func EncodeReadyError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "unready":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReadyUnreadyResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeStateResponse returns an encoder for responses returned by the
 // operators state endpoint.
 func EncodeStateResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
--- a/gen/http/operators/server/server.go
+++ b/gen/http/operators/server/server.go
@@ -20,6 +20,7 @@
 type Server struct {
 	Mounts []*MountPoint
 	Health http.Handler
+	Ready  http.Handler
 	State  http.Handler
 }
 
@@ -51,9 +52,11 @@
 	return &Server{
 		Mounts: []*MountPoint{
 			{"Health", "GET", "/health"},
+			{"Ready", "GET", "/ready"},
 			{"State", "GET", "/state"},
 		},
 		Health: NewHealthHandler(e.Health, mux, decoder, encoder, errhandler, formatter),
+		Ready:  NewReadyHandler(e.Ready, mux, decoder, encoder, errhandler, formatter),
 		State:  NewStateHandler(e.State, mux, decoder, encoder, errhandler, formatter),
 	}
 }
@@ -64,6 +67,7 @@
 // Use wraps the server handlers with the given middleware.
 func (s *Server) Use(m func(http.Handler) http.Handler) {
 	s.Health = m(s.Health)
+	s.Ready = m(s.Ready)
 	s.State = m(s.State)
 }
 
@@ -73,6 +77,7 @@
 // Mount configures the mux to serve the operators endpoints.
 func Mount(mux goahttp.Muxer, h *Server) {
 	MountHealthHandler(mux, h.Health)
+	MountReadyHandler(mux, h.Ready)
 	MountStateHandler(mux, h.State)
 }
 
@@ -127,6 +132,52 @@
 	})
 }
 
+// MountReadyHandler configures the mux to serve the "operators" service
+// "ready" endpoint.
+func MountReadyHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("GET", "/ready", f)
+}
+
+// NewReadyHandler creates a HTTP handler which loads the HTTP request and
+// calls the "operators" service "ready" endpoint.
+func NewReadyHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		encodeResponse = EncodeReadyResponse(encoder)
+		encodeError    = EncodeReadyError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "ready")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operators")
+		var err error
+		res, err := endpoint(ctx, nil)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountStateHandler configures the mux to serve the "operators" service
 // "state" endpoint.
 func MountStateHandler(mux goahttp.Muxer, h http.Handler) {
--- a/gen/http/operators/server/types.go
+++ b/gen/http/operators/server/types.go
@@ -9,6 +9,7 @@
 
 import (
 	operators "example.org/rattanwood/gen/operators"
+	goa "goa.design/goa/v3/pkg"
 )
 
 // HealthResponseBody is the type of the "operators" service "health" endpoint
@@ -20,6 +21,24 @@
 	Version uint64 `form:"version" json:"version" xml:"version"`
 }
 
+// ReadyUnreadyResponseBody is the type of the "operators" service "ready"
+// endpoint HTTP response body for the "unready" error.
+type ReadyUnreadyResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
 // NewHealthResponseBody builds the HTTP response body from the result of the
 // "health" endpoint of the "operators" service.
 func NewHealthResponseBody(res *operators.HealthResult) *HealthResponseBody {
@@ -30,6 +49,20 @@
 	return body
 }
 
+// NewReadyUnreadyResponseBody builds the HTTP response body from the result of
+// the "ready" endpoint of the "operators" service.
+func NewReadyUnreadyResponseBody(res *goa.ServiceError) *ReadyUnreadyResponseBody {
+	body := &ReadyUnreadyResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
 // NewStatePayload builds a operators service state endpoint payload.
 func NewStatePayload(rows int) *operators.StatePayload {
 	v := &operators.StatePayload{}
--- a/gen/operators/client.go
+++ b/gen/operators/client.go
@@ -16,18 +16,23 @@
 // Client is the "operators" service client.
 type Client struct {
 	HealthEndpoint goa.Endpoint
+	ReadyEndpoint  goa.Endpoint
 	StateEndpoint  goa.Endpoint
 }
 
 // NewClient initializes a "operators" service client given the endpoints.
-func NewClient(health, state goa.Endpoint) *Client {
+func NewClient(health, ready, state goa.Endpoint) *Client {
 	return &Client{
 		HealthEndpoint: health,
+		ReadyEndpoint:  ready,
 		StateEndpoint:  state,
 	}
 }
 
 // Health calls the "health" endpoint of the "operators" service.
+// Health may return the following errors:
+//   - "unready" (type *goa.ServiceError): The balancer shouldn't get packets.
+//   - error: internal error
 func (c *Client) Health(ctx context.Context) (res *HealthResult, err error) {
 	var ires any
 	ires, err = c.HealthEndpoint(ctx, nil)
@@ -37,7 +42,19 @@
 	return ires.(*HealthResult), nil
 }
 
+// Ready calls the "ready" endpoint of the "operators" service.
+// Ready may return the following errors:
+//   - "unready" (type *goa.ServiceError): The balancer shouldn't get packets.
+//   - error: internal error
+func (c *Client) Ready(ctx context.Context) (err error) {
+	_, err = c.ReadyEndpoint(ctx, nil)
+	return
+}
+
 // State calls the "state" endpoint of the "operators" service.
+// State may return the following errors:
+//   - "unready" (type *goa.ServiceError): The balancer shouldn't get packets.
+//   - error: internal error
 func (c *Client) State(ctx context.Context, p *StatePayload) (res any, err error) {
 	var ires any
 	ires, err = c.StateEndpoint(ctx, p)
--- a/gen/operators/endpoints.go
+++ b/gen/operators/endpoints.go
@@ -16,6 +16,7 @@
 // Endpoints wraps the "operators" service endpoints.
 type Endpoints struct {
 	Health goa.Endpoint
+	Ready  goa.Endpoint
 	State  goa.Endpoint
 }
 
@@ -23,6 +24,7 @@
 func NewEndpoints(s Service) *Endpoints {
 	return &Endpoints{
 		Health: NewHealthEndpoint(s),
+		Ready:  NewReadyEndpoint(s),
 		State:  NewStateEndpoint(s),
 	}
 }
@@ -30,6 +32,7 @@
 // Use applies the given middleware to all the "operators" service endpoints.
 func (e *Endpoints) Use(m func(goa.Endpoint) goa.Endpoint) {
 	e.Health = m(e.Health)
+	e.Ready = m(e.Ready)
 	e.State = m(e.State)
 }
 
@@ -41,6 +44,14 @@
 	}
 }
 
+// NewReadyEndpoint returns an endpoint function that calls the method "ready"
+// of service "operators".
+func NewReadyEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		return nil, s.Ready(ctx)
+	}
+}
+
 // NewStateEndpoint returns an endpoint function that calls the method "state"
 // of service "operators".
 func NewStateEndpoint(s Service) goa.Endpoint {
--- a/gen/operators/service.go
+++ b/gen/operators/service.go
@@ -9,12 +9,16 @@
 
 import (
 	"context"
+
+	goa "goa.design/goa/v3/pkg"
 )
 
 // What operators see of one balancer.
 type Service interface {
 	// Health implements health.
 	Health(context.Context) (res *HealthResult, err error)
+	// Ready implements ready.
+	Ready(context.Context) (err error)
 	// State implements state.
 	State(context.Context, *StatePayload) (res any, err error)
 }
@@ -33,7 +37,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [2]string{"health", "state"}
+var MethodNames = [3]string{"health", "ready", "state"}
 
 // HealthResult is the result type of the operators service health method.
 type HealthResult struct {
@@ -48,3 +52,8 @@
 	// Largest number of flows to list
 	Rows int
 }
+
+// MakeUnready builds a goa.ServiceError from an error.
+func MakeUnready(err error) *goa.ServiceError {
+	return goa.NewServiceError(err, "unready", false, false, false)
+}
--- a/internal/cli/balancer.go
+++ b/internal/cli/balancer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -18,8 +19,10 @@
 
 	"example.org/rattanwood"
 	"example.org/rattanwood/internal/logger"
+	"example.org/rattanwood/internal/node"
 	"example.org/rattanwood/internal/server"
 	"example.org/rattanwood/internal/settings"
+	"example.org/rattanwood/platform"
 )
 
 // dumpDeadline bounds the wait for a process's state.
@@ -66,20 +69,28 @@
 	if err != nil {
 		return err
 	}
-	log, err := logger.New(set.Log, set.VM)
+	log, err := logger.New(os.Stdout, set.Log, set.VM)
 	if err != nil {
 		return err
 	}
-	s, err := server.New(server.Config{
-		Settings: set,
-		Life:     rattanwood.Incarnation(time.Now().UnixNano()),
-		Log:      log,
-	})
+	life := rattanwood.Incarnation(time.Now().UnixNano())
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	if set.Affinity == settings.Tag {
+		n, err := node.New(node.Config{
+			Settings: set, File: c.Settings, Life: life, Log: log,
+			Source: platform.NewStore(netip.MustParseAddrPort(set.Platform)), Interpreter: platform.Interpreter{},
+			Codec: platform.Codec{Port: set.TunnelAddress().Port()},
+		})
+		if err != nil {
+			return err
+		}
+		return n.Run(ctx)
+	}
+	s, err := server.New(server.Config{Settings: set, Life: life, Log: log.Logger})
 	if err != nil {
 		return err
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
 	return s.Run(ctx)
 }
 
--- a/internal/cli/console.go
+++ b/internal/cli/console.go
@@ -49,7 +49,7 @@
 
 // Run serves the console until it is told to stop.
 func (c *consoleCommand) Run() error {
-	log, err := logger.New("info", "console")
+	log, err := logger.New(os.Stdout, "info", "console")
 	if err != nil {
 		return err
 	}
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -9,9 +9,8 @@
 	"time"
 
 	"github.com/samber/oops"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
-
-	"example.org/rattanwood/wire"
 )
 
 // idleMost is the largest number of unused connections to one balancer.
@@ -41,7 +40,7 @@
 
 // Call runs an idempotent call. A kept connection that doesn't answer within
 // half of the remaining time is closed, and the call runs again on a new one.
-func (d *Dialer) Call(ctx context.Context, address netip.AddrPort, call func(context.Context, wire.DRPCPeerClient) error) error {
+func (d *Dialer) Call(ctx context.Context, address netip.AddrPort, call func(context.Context, drpc.Conn) error) error {
 	if c, ok := d.take(address); ok {
 		if err := d.try(ctx, address, c, true, call); err == nil || ctx.Err() != nil {
 			return err
@@ -54,13 +53,13 @@
 	return d.try(ctx, address, c, false, call)
 }
 
-func (d *Dialer) try(ctx context.Context, address netip.AddrPort, c conn, kept bool, call func(context.Context, wire.DRPCPeerClient) error) error {
+func (d *Dialer) try(ctx context.Context, address netip.AddrPort, c conn, kept bool, call func(context.Context, drpc.Conn) error) error {
 	if deadline, ok := ctx.Deadline(); ok && kept {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/2)
 		defer cancel()
 	}
-	err := call(ctx, wire.NewDRPCPeerClient(c))
+	err := call(ctx, c)
 	if err != nil {
 		d.discard(c)
 		return oops.Code("peer_call").With("peer", address.String()).Wrap(err)
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -90,8 +91,8 @@
 	fetch := func() error {
 		ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 		defer cancel()
-		return d.Call(ctx, l.address, func(ctx context.Context, p wire.DRPCPeerClient) error {
-			_, err := p.Fetch(ctx, &wire.FetchRequest{})
+		return d.Call(ctx, l.address, func(ctx context.Context, conn drpc.Conn) error {
+			_, err := wire.NewDRPCPeerClient(conn).Fetch(ctx, &wire.FetchRequest{})
 			return err
 		})
 	}
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -2,6 +2,7 @@
 package logger
 
 import (
+	"io"
 	"time"
 
 	"github.com/samber/oops"
@@ -21,31 +22,45 @@
 	KeyReason = "reason"
 	// KeyError is an error's text.
 	KeyError = "error"
+	// KeyFlow is the id of a flow: the Caller's end and the address.
+	KeyFlow = "flow"
+	// KeyUpstream is the id of an upstream.
+	KeyUpstream = "upstream"
+	// KeyRevision is the revision of the records that a decision used.
+	KeyRevision = "revision"
+	// KeyAge is the age in milliseconds of what a decision used.
+	KeyAge = "age"
+	// KeyOutcome is what was decided.
+	KeyOutcome = "outcome"
 )
 
 // Bounds on repeated lines: after the first few of a second, one in many is written.
 const (
-	sampleFirst = 5
+	sampleFirst = 20
 	sampleRest  = 1000
 )
 
-// New returns a logger that writes lines at or above level to standard error.
-func New(level, vm string) (*zap.Logger, error) {
-	l, err := zapcore.ParseLevel(level)
+// Logger is a logger that never blocks its callers.
+type Logger struct {
+	*zap.Logger
+	queue *queue
+}
+
+// Dropped returns the number of lines that found no room.
+func (l *Logger) Dropped() uint64 { return l.queue.dropped.Load() }
+
+// New returns a logger that writes lines at or above level to w.
+func New(w io.Writer, level, vm string) (*Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, oops.Code("log_level").With("level", level).Wrap(err)
 	}
-	cfg := zap.NewProductionConfig()
-	cfg.Level = zap.NewAtomicLevelAt(l)
-	cfg.Sampling = &zap.SamplingConfig{Initial: sampleFirst, Thereafter: sampleRest}
-	cfg.EncoderConfig.TimeKey = "time"
-	cfg.EncoderConfig.MessageKey = "message"
-	cfg.EncoderConfig.EncodeTime = zapcore.TimeEncoderOfLayout(time.RFC3339Nano)
-	cfg.DisableCaller = true
-	cfg.DisableStacktrace = true
-	log, err := cfg.Build()
-	if err != nil {
-		return nil, oops.Code("log_build").Wrap(err)
-	}
-	return log.With(zap.String(KeyVM, vm)), nil
+	enc := zap.NewProductionEncoderConfig()
+	enc.TimeKey = "time"
+	enc.MessageKey = "message"
+	enc.EncodeTime = zapcore.TimeEncoderOfLayout(time.RFC3339Nano)
+	q := newQueue(w)
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), q, parsed)
+	core = zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleRest)
+	return &Logger{Logger: zap.New(core).With(zap.String(KeyVM, vm)), queue: q}, nil
 }
--- /dev/null
+++ b/internal/node/checks.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/internal/logger"
+	"example.org/rattanwood/prober"
+	"example.org/rattanwood/tagger"
+)
+
+const (
+	// checkDeadline bounds the wait for an upstream to accept a connection. A living host answers
+	// in a round trip of a few milliseconds, whatever its load.
+	checkDeadline = 150 * time.Millisecond
+	// stallMost is the delay of a tick beyond which checks under way prove nothing.
+	stallMost = 50 * time.Millisecond
+)
+
+// startChecks opens a connection to each upstream and closes it at once.
+func (n *Node) startChecks(ctx context.Context, due []rattanwood.UpstreamID) {
+	for _, id := range due {
+		n.running.Go(func() { n.check(ctx, id) })
+	}
+}
+
+func (n *Node) check(ctx context.Context, id rattanwood.UpstreamID) {
+	n.mu.Lock()
+	r, _, ok := n.flows.Upstream(id)
+	began := n.now()
+	n.mu.Unlock()
+	outcome := prober.Unclear
+	if ok {
+		n.counters.checks.Add(1)
+		outcome = dial(ctx, r.Address.String())
+	}
+	n.mu.Lock()
+	now := n.now()
+	if outcome == prober.Silent && (n.stalled >= began || now-began > checkDeadline+stallMost) {
+		outcome = prober.Unclear
+	}
+	v := n.checks.Result(id, outcome)
+	var emissions []tagger.Emission
+	if v.Avoid {
+		emissions = n.flows.Moves(now, id)
+		n.talk.Members.Hurry(now)
+	}
+	if v.Dead {
+		emissions = append(emissions, n.flows.Ends(id)...)
+	}
+	age, _ := n.watch.Age(now)
+	revision := n.copy.At()
+	n.mu.Unlock()
+	if v != (prober.Verdict{}) {
+		n.log.Info("upstream checked", zap.Stringer(logger.KeyUpstream, id), zap.Stringer(logger.KeyOutcome, outcome),
+			zap.Bool("avoid", v.Avoid), zap.Bool("dead", v.Dead), zap.Bool("well", v.Well), zap.Int64(logger.KeyAge, (now-began).Milliseconds()))
+	}
+	n.emitAll(emissions, age, revision)
+}
+
+// dial reports whether a connection can be made.
+func dial(ctx context.Context, address string) prober.Outcome {
+	d := net.Dialer{Timeout: checkDeadline}
+	conn, err := d.DialContext(ctx, "tcp4", address)
+	switch {
+	case err == nil:
+		_ = conn.Close()
+		return prober.Answered
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return prober.Refused
+	case ctx.Err() != nil:
+		return prober.Unclear
+	}
+	return prober.Silent
+}
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"example.org/rattanwood/limiter"
+	"example.org/rattanwood/tagger"
+)
+
+// counters are counted outside of the decision logic.
+type counters struct {
+	calls, callErrors, checks atomic.Uint64
+}
+
+// Descriptions of the metrics.
+var (
+	descPackets  = prometheus.NewDesc("rattanwood_packets_total", "Packets by decision.", []string{"action", "reason"}, nil)
+	descRejected = prometheus.NewDesc("rattanwood_rejected_total", "Bad input by reason.", []string{"reason"}, nil)
+	descCalls    = prometheus.NewDesc("rattanwood_source_calls_total", "Calls of the source.", []string{"outcome"}, nil)
+	descChecks   = prometheus.NewDesc("rattanwood_checks_total", "Connections opened to check upstreams.", nil, nil)
+	descControl  = prometheus.NewDesc("rattanwood_control_bytes_total", "Bytes of heartbeats and the like by class.", []string{"class", "fate"}, nil)
+	descRevision = prometheus.NewDesc("rattanwood_source_revision", "Revision of the records.", nil, nil)
+	descAge      = prometheus.NewDesc("rattanwood_source_age_seconds", "Time since the records were known to be current.", nil, nil)
+	descVersion  = prometheus.NewDesc("rattanwood_document_version", "Version of the routes in force.", nil, nil)
+	descMembers  = prometheus.NewDesc("rattanwood_members", "Other balancers by state.", []string{"state"}, nil)
+	descFailing  = prometheus.NewDesc("rattanwood_upstreams_failing", "Upstreams that fail the checks.", nil, nil)
+	descLost     = prometheus.NewDesc("rattanwood_log_lines_dropped_total", "Log lines that found no room.", nil, nil)
+)
+
+// registry returns the registry that shows this balancer's metrics.
+func (n *Node) registry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(&collector{node: n})
+	return r
+}
+
+// collector reads the decision logic when metrics are fetched.
+type collector struct {
+	node *Node
+}
+
+// Describe implements prometheus.Collector.
+func (c *collector) Describe(ch chan<- *prometheus.Desc) { prometheus.DescribeByCollect(c, ch) }
+
+// Collect implements prometheus.Collector.
+func (c *collector) Collect(ch chan<- prometheus.Metric) {
+	n := c.node
+	counter := func(d *prometheus.Desc, v uint64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+	}
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	calls, failed := n.counters.calls.Load(), n.counters.callErrors.Load()
+	counter(descCalls, calls-min(failed, calls), "answered")
+	counter(descCalls, failed, "failed")
+	counter(descChecks, n.counters.checks.Load())
+	counter(descLost, n.cfg.Log.Dropped())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for action, reasons := range n.flows.Counts() {
+		for reason, count := range reasons {
+			counter(descPackets, count, tagger.Action(action).String(), tagger.Reason(reason).String())
+		}
+	}
+	for reason, count := range n.refused {
+		counter(descRejected, count, reason)
+	}
+	for _, class := range limiter.Classes() {
+		counter(descControl, n.talk.Limits.Sent(class), class.String(), "sent")
+		counter(descControl, n.talk.Limits.Shed(class), class.String(), "shed")
+	}
+	gauge(descRevision, float64(n.copy.At()))
+	if age, ok := n.watch.Age(n.now()); ok {
+		gauge(descAge, age.Seconds())
+	}
+	gauge(descVersion, float64(n.flows.Version()))
+	gauge(descFailing, float64(len(n.checks.Failing())))
+	states := map[string]int{}
+	for _, m := range n.talk.Members.Members() {
+		states[m.State.String()]++
+	}
+	for state, count := range states {
+		gauge(descMembers, float64(count), state)
+	}
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,209 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/internal/logger"
+	"example.org/rattanwood/messenger"
+	"example.org/rattanwood/prober"
+	"example.org/rattanwood/wire"
+)
+
+// syncDeadline bounds a fetch of records from a balancer; a slow one is given up for another.
+const syncDeadline = 800 * time.Millisecond
+
+// knowledge is what heartbeats say; mu is held.
+func (n *Node) knowledge() messenger.Knowledge {
+	now := n.now()
+	age, ok := n.watch.Age(now)
+	k := messenger.Knowledge{
+		Revision: n.copy.At(), Age: age, Confirmed: ok,
+		Leaving: n.leaving.Load(), Blind: n.watch.Blind(now), Failing: n.checks.Failing(),
+	}
+	for _, id := range n.flows.Registered() {
+		if work := n.loads.Own(now, id); work > 0 {
+			k.Loads = append(k.Loads, messenger.Load{Upstream: id, Work: work})
+		}
+	}
+	return k
+}
+
+// peerLoop takes in datagrams from other balancers.
+func (n *Node) peerLoop(ctx context.Context) error {
+	buf := make([]byte, datagramMost)
+	for {
+		size, from, err := n.peerUDP.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return closed(ctx, err)
+		}
+		e := &wire.Envelope{}
+		if err := proto.Unmarshal(buf[:size], e); err != nil {
+			n.refuse("peer_syntax")
+			n.log.Warn("datagram refused", zap.String(logger.KeyPeer, from.String()), zap.String(logger.KeyError, err.Error()))
+			continue
+		}
+		n.datagram(ctx, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), e)
+	}
+}
+
+func (n *Node) datagram(ctx context.Context, from netip.AddrPort, e *wire.Envelope) {
+	if e.GetVm() == n.cfg.Settings.VM || e.GetVm() == "" {
+		n.refuse("peer_name")
+		return
+	}
+	n.mu.Lock()
+	now := n.now()
+	news, ok := n.talk.Message(now, from, e)
+	if ok {
+		n.heard(now, &news)
+	}
+	actions := n.talk.Take()
+	n.mu.Unlock()
+	n.perform(ctx, actions)
+}
+
+// heard takes in the news of a heartbeat; mu is held.
+func (n *Node) heard(now time.Duration, news *messenger.News) {
+	if news.Revision > n.copy.At() && len(news.Records) > 0 {
+		if changed, ok := n.copy.Apply(news.Prior, rattanwood.Changes{Records: news.Records, At: news.Revision}); ok {
+			n.apply(now, string(news.From), changed)
+		}
+	}
+	switch {
+	case news.Revision > n.copy.At() || !n.copy.Whole() && news.Confirmed:
+		n.talk.Behind(now, news.From, n.after())
+	case news.Revision == n.copy.At() && news.Confirmed && n.copy.Whole():
+		n.confirm(now - news.Age)
+	}
+	for _, l := range news.Loads {
+		n.loads.Merge(now, news.From, l.Upstream, l.Work)
+	}
+	for _, id := range news.Failing {
+		if !n.checks.Avoid(id) {
+			n.checks.Hint(id)
+		}
+	}
+}
+
+// after returns the revision whose later changes this balancer needs; mu is held.
+func (n *Node) after() rattanwood.Revision {
+	if !n.copy.Whole() {
+		return 0
+	}
+	return n.copy.At()
+}
+
+// perform carries out the actions of the messenger.
+func (n *Node) perform(ctx context.Context, actions []messenger.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case messenger.Send:
+			n.send(a)
+		case messenger.Sync:
+			n.running.Go(func() { n.sync(ctx, a) })
+		}
+	}
+}
+
+func (n *Node) send(a messenger.Send) {
+	data, err := proto.Marshal(a.Message)
+	if err != nil {
+		n.refuse("peer_encode")
+		n.log.Error("datagram not encoded", zap.String(logger.KeyError, err.Error()))
+		return
+	}
+	if _, err := n.peerUDP.WriteToUDPAddrPort(data, a.Address); err != nil {
+		// The receiver counts as silent, which is what it is.
+		n.refuse("peer_send")
+	}
+}
+
+// sync brings newer records from another balancer.
+func (n *Node) sync(ctx context.Context, a messenger.Sync) {
+	ctx, cancel := context.WithTimeout(ctx, syncDeadline)
+	defer cancel()
+	asked := n.now()
+	var reply *wire.SyncReply
+	err := n.peers.Call(ctx, a.Address, func(ctx context.Context, conn drpc.Conn) (err error) {
+		reply, err = wire.NewDRPCCopyClient(conn).Sync(ctx, &wire.SyncRequest{After: uint64(a.After)})
+		return err
+	})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.talk.Synced()
+	if err != nil {
+		n.log.Warn("records not fetched", zap.String(logger.KeyPeer, string(a.VM)), zap.String(logger.KeyError, err.Error()))
+		return
+	}
+	now, revision := n.now(), rattanwood.Revision(reply.GetRevision())
+	records := messenger.DecodeRecords(reply.GetRecords())
+	if reply.GetWhole() {
+		n.apply(now, string(a.VM), n.copy.Replace(records, revision))
+	} else if changed, ok := n.copy.Apply(a.After, rattanwood.Changes{Records: records, At: revision}); ok {
+		n.apply(now, string(a.VM), changed)
+	}
+	if age, ok := messenger.DecodeAge(reply.GetConfirmed()); ok && revision == n.copy.At() {
+		n.confirm(asked - age)
+	}
+}
+
+// confirm records that the copy was current at a time; mu is held.
+func (n *Node) confirm(at time.Duration) {
+	n.watch.Confirm(at)
+	n.flows.Confirm(at)
+}
+
+// serveCalls serves the calls of other balancers.
+func (n *Node) serveCalls(ctx context.Context) error {
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterCopy(mux, &calls{node: n}); err != nil {
+		return oops.Code("peer_register").Wrap(err)
+	}
+	if err := drpcserver.New(mux).Serve(ctx, n.peerTCP); err != nil {
+		return closed(ctx, err)
+	}
+	return nil
+}
+
+// calls implements the service by which balancers copy records.
+type calls struct {
+	node *Node
+}
+
+// Sync returns the records that changed after a revision.
+func (c *calls) Sync(_ context.Context, r *wire.SyncRequest) (*wire.SyncReply, error) {
+	n := c.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.copy.Whole() {
+		return nil, oops.Code("not_whole").Errorf("no records yet")
+	}
+	records, whole := n.copy.Since(rattanwood.Revision(r.GetAfter()))
+	age, ok := n.watch.Age(n.now())
+	return &wire.SyncReply{
+		Revision: uint64(n.copy.At()), Whole: whole || r.GetAfter() == 0,
+		Records: messenger.EncodeRecords(records), Confirmed: messenger.EncodeAge(age, ok),
+	}, nil
+}
+
+// duty says how closely this balancer watches an upstream; mu is held.
+func (n *Node) duty(id rattanwood.UpstreamID) prober.Duty {
+	r, present, ok := n.flows.Upstream(id)
+	switch {
+	case !ok || !present || n.leaving.Load() || !n.talk.Duty(id):
+		return prober.Watched
+	case string(r.DataCentre) == n.cfg.Settings.Centre:
+		return prober.Local
+	}
+	return prober.Remote
+}
--- /dev/null
+++ b/internal/node/source.go
@@ -0,0 +1,197 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/internal/logger"
+	"example.org/rattanwood/internal/settings"
+)
+
+const (
+	// callSlack is the time that an answer may take beyond the wait that was asked for:
+	// twice that of a source which is sixty times slower than its usual 4 ms.
+	callSlack = 500 * time.Millisecond
+	// gatherTime is the pause after a change, so that changes in quick succession cost one call.
+	gatherTime = 100 * time.Millisecond
+	// confirmSlack is how old an answer may be when it arrives.
+	confirmSlack = 250 * time.Millisecond
+	// pagesMost bounds a listing, against a source that always has more.
+	pagesMost = 1000
+)
+
+// sourceLoop reads the source while that falls to this balancer.
+func (n *Node) sourceLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		due := n.watch.Due(n.now(), n.talk.ReaderRank()) && !n.leaving.Load()
+		whole := n.copy.Whole()
+		n.mu.Unlock()
+		switch {
+		case !due:
+			pause(ctx, tickPeriod)
+		case whole:
+			n.readChanges(ctx)
+		default:
+			n.readAll(ctx)
+		}
+	}
+	return nil
+}
+
+// readAll lists all records. Pages may be of different revisions, so the changes since the first follow.
+func (n *Node) readAll(ctx context.Context) {
+	var records []rattanwood.Record
+	var at rattanwood.Revision
+	after, began := "", n.now()
+	for page := range pagesMost {
+		p, err := n.list(ctx, after)
+		if err != nil {
+			n.readFailed(ctx, err)
+			return
+		}
+		if page == 0 {
+			at = p.At
+		}
+		records = append(records, p.Records...)
+		if !p.More || len(p.Records) == 0 {
+			break
+		}
+		after = p.Records[len(p.Records)-1].Key
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now, prior := n.now(), n.copy.At()
+	n.watch.Succeeded()
+	changed := n.copy.Replace(records, at)
+	n.apply(now, "source", changed)
+	n.confirm(began)
+	n.talk.Push(now, prior, changed)
+}
+
+func (n *Node) list(ctx context.Context, after string) (rattanwood.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	defer cancel()
+	n.counters.calls.Add(1)
+	return n.cfg.Source.List(ctx, after)
+}
+
+// readChanges watches for changes once.
+func (n *Node) readChanges(ctx context.Context) {
+	n.mu.Lock()
+	prior, began := n.copy.At(), n.now()
+	age, _ := n.watch.Age(began)
+	n.mu.Unlock()
+	wait := settings.Duration(n.cfg.Settings.Times.Apply) / 3
+	if age > wait/2 {
+		// The copy needs a confirmation now; an answer without a wait is one.
+		wait = 0
+	}
+	call, cancel := context.WithTimeout(ctx, wait+callSlack)
+	defer cancel()
+	n.counters.calls.Add(1)
+	changes, err := n.cfg.Source.Watch(call, prior, wait)
+	var lost *rattanwood.LostHistoryError
+	if errors.As(err, &lost) {
+		n.log.Warn("history lost, listing again", zap.Uint64(logger.KeyRevision, uint64(prior)))
+		n.readAll(ctx)
+		return
+	}
+	if err != nil {
+		n.readFailed(ctx, err)
+		return
+	}
+	n.mu.Lock()
+	now := n.now()
+	if n.watch.Blind(now) {
+		n.log.Info("source regained", zap.Uint64(logger.KeyRevision, uint64(changes.At)))
+	}
+	n.watch.Succeeded()
+	if changed, ok := n.copy.Apply(prior, changes); ok {
+		n.apply(now, "source", changed)
+		n.talk.Push(now, prior, changed)
+	}
+	n.confirm(max(began, now-confirmSlack))
+	n.mu.Unlock()
+	if len(changes.Records) > 0 {
+		pause(ctx, gatherTime)
+	}
+}
+
+func (n *Node) readFailed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	n.counters.callErrors.Add(1)
+	n.mu.Lock()
+	now := n.now()
+	n.watch.Failed(now)
+	age, _ := n.watch.Age(now)
+	n.talk.Members.Hurry(now)
+	n.mu.Unlock()
+	n.log.Warn("source lost", zap.Int64(logger.KeyAge, age.Milliseconds()), zap.String(logger.KeyError, err.Error()))
+}
+
+// apply hands changed records to the decision logic; mu is held.
+func (n *Node) apply(now time.Duration, from string, changed []rattanwood.Record) {
+	for _, r := range changed {
+		n.applyRecord(now, from, r)
+	}
+	if n.copy.Whole() && !n.newborn && n.flows.Version() > 0 {
+		n.newborn = true
+		close(n.whole)
+		n.log.Info("records complete", zap.String(logger.KeyPeer, from), zap.Uint64(logger.KeyRevision, uint64(n.copy.At())),
+			zap.Int("records", n.copy.Len()), zap.Int64("after", now.Milliseconds()))
+	}
+}
+
+func (n *Node) applyRecord(now time.Duration, from string, r rattanwood.Record) {
+	in, isUpstream := n.cfg.Interpreter.Instance(r.Key)
+	if r.Deleted {
+		if isUpstream {
+			n.flows.RemoveRegistration(now, in)
+			n.logBelief("upstream vanished", from, r, zap.Stringer(logger.KeyUpstream, in.Upstream()))
+		}
+		return
+	}
+	entity, err := n.cfg.Interpreter.Interpret(r)
+	if err != nil {
+		var bad *rattanwood.RecordError
+		reason := "unknown"
+		if errors.As(err, &bad) {
+			reason = bad.Reason
+		}
+		n.refused["record_"+reason]++
+		n.log.Warn("record refused", zap.String(logger.KeyPeer, from), zap.Uint64(logger.KeyRevision, uint64(r.Revision)), zap.String(logger.KeyError, err.Error()))
+		if isUpstream {
+			// Whoever wrote this, the key no longer names an upstream to use.
+			n.flows.RemoveRegistration(now, in)
+		}
+		return
+	}
+	switch e := entity.(type) {
+	case *rattanwood.Routing:
+		if n.flows.SetRouting(e) {
+			n.logBelief("routes in force", from, r, zap.Uint64(logger.KeyVersion, uint64(e.Version)), zap.Int("routes", len(e.Routes)), zap.Int("invalid", e.Invalid))
+		}
+	case *rattanwood.Registration:
+		if !n.flows.SetRegistration(now, *e) {
+			n.refused["record_tag"]++
+			n.log.Error("upstream not used, its tag is another's", zap.Stringer(logger.KeyUpstream, in))
+			return
+		}
+		n.logBelief("upstream registered", from, r, zap.Stringer(logger.KeyUpstream, in.Upstream()), zap.String("service", string(e.Service)),
+			zap.Bool("draining", e.Draining), zap.Int64("warmup", e.Warmup.Milliseconds()))
+	}
+}
+
+// logBelief logs a change of what this balancer believes.
+func (n *Node) logBelief(message, from string, r rattanwood.Record, more ...zap.Field) {
+	if e := n.log.Check(zap.InfoLevel, message); e != nil {
+		e.Write(append(more, zap.String(logger.KeyPeer, from), zap.Uint64(logger.KeyRevision, uint64(r.Revision)))...)
+	}
+}
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -10,6 +10,7 @@
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -95,8 +96,8 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchDeadline)
 	defer cancel()
 	var reply *wire.FetchReply
-	err := s.peers.Call(ctx, a.Address, func(ctx context.Context, p wire.DRPCPeerClient) (err error) {
-		reply, err = p.Fetch(ctx, &wire.FetchRequest{Version: uint64(a.Version)})
+	err := s.peers.Call(ctx, a.Address, func(ctx context.Context, conn drpc.Conn) (err error) {
+		reply, err = wire.NewDRPCPeerClient(conn).Fetch(ctx, &wire.FetchRequest{Version: uint64(a.Version)})
 		return err
 	})
 	if err != nil {
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -31,10 +31,9 @@
 
 // bootstrap reads the platform once, so that a new balancer knows others to ask.
 func (s *Server) bootstrap(ctx context.Context) {
-	for _, ip := range s.cfg.Settings.Seeds {
-		address := settings.At(ip, s.cfg.Settings.Ports.Peer)
+	for _, address := range s.cfg.Settings.SeedAddresses() {
 		s.mu.Lock()
-		s.core.Members.Add(rattanwood.VMID(ip), address, "")
+		s.core.Members.Add(rattanwood.VMID(address.Addr().String()), address, "")
 		s.mu.Unlock()
 	}
 	s.readList(ctx)
--- a/internal/server/requests.go
+++ b/internal/server/requests.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
 
 	"example.org/rattanwood"
 	"example.org/rattanwood/claimer"
@@ -192,8 +193,8 @@
 		return claimer.Reply{}
 	}
 	var reply *wire.ClaimReply
-	err := s.peers.Call(ctx, address, func(ctx context.Context, p wire.DRPCPeerClient) (err error) {
-		reply, err = p.Claim(ctx, r)
+	err := s.peers.Call(ctx, address, func(ctx context.Context, conn drpc.Conn) (err error) {
+		reply, err = wire.NewDRPCPeerClient(conn).Claim(ctx, r)
 		return err
 	})
 	if err != nil {
@@ -210,8 +211,8 @@
 		return
 	}
 	r := &wire.SettleRequest{Id: string(a.ID), Claimant: s.cfg.Settings.VM, Life: uint64(s.cfg.Life), Outcome: encodeOutcome(a.Outcome)}
-	_ = s.peers.Call(ctx, address, func(ctx context.Context, p wire.DRPCPeerClient) error {
-		_, err := p.Settle(ctx, r)
+	_ = s.peers.Call(ctx, address, func(ctx context.Context, conn drpc.Conn) error {
+		_, err := wire.NewDRPCPeerClient(conn).Settle(ctx, r)
 		return err
 	})
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -122,7 +122,7 @@
 	set := cfg.Settings
 	t := set.Times
 	c := balancer.DefaultConfig(rattanwood.VMID(set.VM))
-	c.Detector.Address = settings.At(set.Address, set.Ports.Peer)
+	c.Detector.Address = set.PeerAddress()
 	c.Detector.DataCentre = rattanwood.DataCentre(set.Centre)
 	c.Detector.Life = cfg.Life
 	c.Detector.Beat = settings.Duration(t.Beat)
@@ -143,17 +143,17 @@
 func (s *Server) listen() error {
 	set := s.cfg.Settings
 	var err error
-	if s.tunnel, err = listenUDP(settings.At(set.Address, set.Ports.Tunnel)); err != nil {
+	if s.tunnel, err = listenUDP(set.TunnelAddress()); err != nil {
 		return err
 	}
-	peer := settings.At(set.Address, set.Ports.Peer)
+	peer := set.PeerAddress()
 	if s.peerUDP, err = listenUDP(peer); err != nil {
 		return err
 	}
 	if s.peerTCP, err = listenTCP(peer); err != nil {
 		return err
 	}
-	s.web, err = listenTCP(settings.At(set.Address, set.Ports.Web))
+	s.web, err = listenTCP(set.WebAddress())
 	return err
 }
 
--- a/internal/server/web.go
+++ b/internal/server/web.go
@@ -79,6 +79,20 @@
 	return r, nil
 }
 
+// Ready fails while the balancer shouldn't get packets.
+func (o *operators) Ready(context.Context) error {
+	s := o.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.core.Leaving() || s.core.Members.Waking(s.now()) || s.core.Router.Adopted() == nil {
+		return genoperators.MakeUnready(errUnready)
+	}
+	return nil
+}
+
+// errUnready says that a balancer is leaving, waking or without a document.
+var errUnready = errors.New("leaving, waking or without a document")
+
 // State is a dump of the balancer's tables.
 type State struct {
 	VM       string               `json:"vm"`
--- /dev/null
+++ b/messenger/messenger.go
@@ -0,0 +1,209 @@
+// Package messenger is the state machine for what balancers tell each other about
+// records, loads and failing upstreams: datagrams go in, actions come out.
+//
+// A Messenger has no clock, socket or goroutine and isn't safe for concurrent use.
+package messenger
+
+import (
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/detector"
+	"example.org/rattanwood/limiter"
+	"example.org/rattanwood/ranker"
+	"example.org/rattanwood/wire"
+)
+
+const (
+	// headers are the bytes of IP and UDP headers around a datagram.
+	headers = 28
+	// pushMost is the largest size in bytes of records in a heartbeat; peers fetch what doesn't fit.
+	pushMost = 8 << 10
+	// syncPause is the time after which a fetch without result is tried elsewhere.
+	syncPause = 300 * time.Millisecond
+	// rosterPause is the time between two pulls of the roster.
+	rosterPause = time.Second
+	// hundredths is the unit of work in a Load.
+	hundredths = 100
+)
+
+// Config builds a Messenger.
+type Config struct {
+	Detector detector.Config
+	Limiter  limiter.Config
+}
+
+// Send is the action to send a datagram to a balancer.
+type Send struct {
+	Address netip.AddrPort
+	Message *wire.Envelope
+}
+
+// Sync is the action to fetch the records after a revision from a balancer.
+type Sync struct {
+	VM      rattanwood.VMID
+	Address netip.AddrPort
+	After   rattanwood.Revision
+}
+
+// Action is a Send or a Sync.
+type Action interface{ action() }
+
+func (Send) action() {}
+func (Sync) action() {}
+
+// Knowledge is what heartbeats say of their sender.
+type Knowledge struct {
+	Revision rattanwood.Revision
+	// Age is the time since the records were known to be current; Confirmed is set if they ever were.
+	Age       time.Duration
+	Confirmed bool
+	Leaving   bool
+	// Blind is set while the source doesn't answer.
+	Blind bool
+	Loads []Load
+	// Failing are the upstreams that fail the sender's checks.
+	Failing []rattanwood.UpstreamID
+}
+
+// Load is the work that a balancer gave to an upstream lately, in requests.
+type Load struct {
+	Upstream rattanwood.UpstreamID
+	Work     float64
+}
+
+// News is what a heartbeat brought.
+type News struct {
+	From rattanwood.VMID
+	Knowledge
+	// Prior is the revision that Records follow; without records it is of no use.
+	Prior   rattanwood.Revision
+	Records []rattanwood.Record
+}
+
+// Messenger is the state of one balancer's talk.
+type Messenger struct {
+	cfg     Config
+	seed    uint64
+	Members *detector.Detector
+	Limits  *limiter.Limiter
+	actions []Action
+	// prior and pending are the records that the next heartbeats carry.
+	prior    rattanwood.Revision
+	pending  []rattanwood.Record
+	size     int
+	rostered time.Duration
+	synced   time.Duration
+}
+
+// New returns a messenger that knows nobody.
+func New(cfg Config) *Messenger {
+	return &Messenger{
+		cfg:     cfg,
+		seed:    ranker.Seed(string(cfg.Detector.Self)),
+		Members: detector.New(cfg.Detector),
+		Limits:  limiter.New(cfg.Limiter),
+	}
+}
+
+// Take returns the actions since the last call.
+func (m *Messenger) Take() []Action {
+	out := m.actions
+	m.actions = nil
+	return out
+}
+
+// Push lets the next heartbeats, which go out soon, carry records that changed after prior.
+func (m *Messenger) Push(now time.Duration, prior rattanwood.Revision, records []rattanwood.Record) {
+	if len(m.pending) == 0 {
+		m.prior, m.size = prior, 0
+	}
+	for _, r := range records {
+		m.size += len(r.Key) + len(r.Value)
+	}
+	m.pending = append(m.pending, records...)
+	m.Members.Hurry(now)
+}
+
+// Tick runs the systems. Knowledge is asked for only if heartbeats are due.
+func (m *Messenger) Tick(now time.Duration, know func() Knowledge) {
+	beats, probes := m.Members.Tick(now)
+	for _, q := range probes {
+		m.send(now, limiter.Liveness, q.Witness, &wire.Envelope{Body: &wire.Envelope_Probe{Probe: &wire.Probe{Target: string(q.Target)}}})
+	}
+	if len(beats) == 0 {
+		return
+	}
+	k := know()
+	common := m.encode(k)
+	for _, to := range beats {
+		beat := m.Members.Beat(now, to, detector.Knowledge{Version: rattanwood.Version(k.Revision), Leaving: k.Leaving, Blind: k.Blind})
+		beat.Confirmed, beat.Prior, beat.Records = common.Confirmed, common.Prior, common.Records
+		beat.Loads, beat.Failing = common.Loads, common.Failing
+		m.send(now, limiter.Liveness, to, &wire.Envelope{Body: &wire.Envelope_Beat{Beat: beat}})
+	}
+	m.pending = nil
+}
+
+// encode builds the part of a heartbeat that is the same for all receivers.
+func (m *Messenger) encode(k Knowledge) *wire.Beat {
+	beat := &wire.Beat{Confirmed: EncodeAge(k.Age, k.Confirmed)}
+	if m.size <= pushMost {
+		beat.Prior, beat.Records = uint64(m.prior), EncodeRecords(m.pending)
+	}
+	for _, l := range k.Loads {
+		beat.Loads = append(beat.Loads, &wire.Load{Upstream: uint32(l.Upstream), Work: uint32(l.Work * hundredths)})
+	}
+	for _, id := range k.Failing {
+		beat.Failing = append(beat.Failing, uint32(id))
+	}
+	return beat
+}
+
+// EncodeAge returns an age as messages carry it: milliseconds plus one, zero for none.
+func EncodeAge(age time.Duration, ok bool) uint64 {
+	if !ok {
+		return 0
+	}
+	return uint64(age/time.Millisecond) + 1
+}
+
+// DecodeAge returns the age in a message; ok is false if there is none.
+func DecodeAge(ms uint64) (age time.Duration, ok bool) {
+	const most = uint64(24 * time.Hour / time.Millisecond)
+	if ms == 0 {
+		return 0, false
+	}
+	return time.Duration(min(ms-1, most)) * time.Millisecond, true
+}
+
+// EncodeRecords returns records as messages carry them.
+func EncodeRecords(records []rattanwood.Record) []*wire.Record {
+	out := make([]*wire.Record, len(records))
+	for i, r := range records {
+		out[i] = &wire.Record{Key: r.Key, Value: r.Value, Revision: uint64(r.Revision), Deleted: r.Deleted}
+	}
+	return out
+}
+
+// DecodeRecords returns the records of a message.
+func DecodeRecords(records []*wire.Record) []rattanwood.Record {
+	out := make([]rattanwood.Record, len(records))
+	for i, r := range records {
+		out[i] = rattanwood.Record{Key: r.GetKey(), Value: r.GetValue(), Revision: rattanwood.Revision(r.GetRevision()), Deleted: r.GetDeleted()}
+	}
+	return out
+}
+
+// send queues a datagram if the budget of its class allows it.
+func (m *Messenger) send(now time.Duration, class limiter.Class, to *detector.Member, e *wire.Envelope) {
+	e.Vm = string(m.cfg.Detector.Self)
+	e.Life = uint64(m.cfg.Detector.Life)
+	if !m.Limits.Allow(now, class, proto.Size(e)+headers) {
+		return
+	}
+	m.actions = append(m.actions, Send{Address: to.Address, Message: e})
+}
--- /dev/null
+++ b/messenger/receive.go
@@ -0,0 +1,100 @@
+package messenger
+
+import (
+	"net/netip"
+	"time"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/detector"
+	"example.org/rattanwood/limiter"
+	"example.org/rattanwood/ranker"
+	"example.org/rattanwood/wire"
+)
+
+// Message takes in a datagram from the balancer at an address. It returns the
+// news of a heartbeat, and false for any other message.
+func (m *Messenger) Message(now time.Duration, from netip.AddrPort, e *wire.Envelope) (News, bool) {
+	vm := rattanwood.VMID(e.GetVm())
+	if _, known := m.Members.Member(vm); !known {
+		m.Members.Add(vm, from, "")
+	}
+	sender, known := m.Members.Member(vm)
+	if !known || rattanwood.Incarnation(e.GetLife()) < sender.Life {
+		return News{}, false
+	}
+	switch body := e.GetBody().(type) {
+	case *wire.Envelope_Beat:
+		return m.heard(now, sender, e, body.Beat)
+	case *wire.Envelope_Probe:
+		if w, ok := m.Members.Witness(now, body.Probe); ok {
+			m.send(now, limiter.Liveness, sender, &wire.Envelope{Body: &wire.Envelope_Witness{Witness: w}})
+		}
+	case *wire.Envelope_Witness:
+		m.Members.Vouch(now, body.Witness)
+	case *wire.Envelope_Roster:
+		m.Members.Enrol(body.Roster)
+	case *wire.Envelope_Pull:
+		m.send(now, limiter.State, sender, &wire.Envelope{Body: &wire.Envelope_Roster{Roster: m.Members.Roster()}})
+	}
+	return News{}, false
+}
+
+func (m *Messenger) heard(now time.Duration, sender *detector.Member, e *wire.Envelope, beat *wire.Beat) (News, bool) {
+	event, ok := m.Members.Heard(now, sender.VM, rattanwood.Incarnation(e.GetLife()), beat, detector.Knowledge{})
+	if !ok {
+		return News{}, false
+	}
+	if event.Roster && (m.rostered == 0 || now-m.rostered >= rosterPause) {
+		m.rostered = now
+		m.send(now, limiter.State, sender, &wire.Envelope{Body: &wire.Envelope_Pull{Pull: &wire.Pull{Roster: true}}})
+	}
+	news := News{From: sender.VM, Prior: rattanwood.Revision(beat.GetPrior()), Records: DecodeRecords(beat.GetRecords())}
+	news.Revision, news.Leaving, news.Blind = rattanwood.Revision(beat.GetVersion()), beat.GetLeaving(), beat.GetBlind()
+	news.Age, news.Confirmed = DecodeAge(beat.GetConfirmed())
+	for _, l := range beat.GetLoads() {
+		news.Loads = append(news.Loads, Load{Upstream: rattanwood.UpstreamID(l.GetUpstream()), Work: float64(l.GetWork()) / hundredths})
+	}
+	for _, id := range beat.GetFailing() {
+		news.Failing = append(news.Failing, rattanwood.UpstreamID(id))
+	}
+	return news, true
+}
+
+// Behind asks for a fetch from a balancer that knows a newer revision than this one.
+func (m *Messenger) Behind(now time.Duration, vm rattanwood.VMID, own rattanwood.Revision) {
+	sender, ok := m.Members.Member(vm)
+	if !ok || m.synced != 0 && now-m.synced < syncPause {
+		return
+	}
+	m.synced = now
+	m.actions = append(m.actions, Sync{VM: vm, Address: sender.Address, After: own})
+}
+
+// Synced records that a fetch has ended, so that another may begin at once.
+func (m *Messenger) Synced() { m.synced = 0 }
+
+// able reports whether a member can take on duties.
+func able(d *detector.Member) bool {
+	return d.State == detector.Alive && !d.Leaving
+}
+
+// ReaderRank returns how many balancers that can read the source come before this one.
+func (m *Messenger) ReaderRank() int {
+	return m.rank(ranker.Seed("reader"), func(d *detector.Member) bool { return !d.Blind })
+}
+
+// Duty reports whether the check of an upstream falls to this balancer in its data centre.
+func (m *Messenger) Duty(id rattanwood.UpstreamID) bool {
+	return m.rank(uint64(id), func(d *detector.Member) bool { return d.DataCentre == m.cfg.Detector.DataCentre }) == 0
+}
+
+func (m *Messenger) rank(key uint64, match func(*detector.Member) bool) int {
+	own := ranker.Score(key, m.seed)
+	above := 0
+	for _, d := range m.Members.Members() {
+		if able(d) && match(d) && ranker.Score(key, d.Seed) > own {
+			above++
+		}
+	}
+	return above
+}
--- /dev/null
+++ b/tagger/tagger.go
@@ -0,0 +1,282 @@
+// Package tagger keeps flows on their upstreams by a tag that the packets carry.
+//
+// The balancer that takes a flow's first packet chooses an upstream and writes its id
+// into the packet. Both ends send the last tag that they got with all further packets, so that
+// any balancer forwards them without a table of flows (stateless load balancing with a cookie, as in
+// Cheetah; Barbette et al., NSDI 2020). A short memory of recent flows only serves
+// copies of first packets, evidence of dead upstreams, and telling Callers early.
+package tagger
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/placer"
+	"example.org/rattanwood/prober"
+)
+
+// Action says what to do with a packet.
+type Action uint8
+
+// The actions.
+const (
+	// Drop leaves the packet without an answer; its sender repeats it.
+	Drop Action = iota
+	// Forward sends the packet to an upstream.
+	Forward
+	// Reset tells the Caller that the flow can't go on.
+	Reset
+)
+
+// String returns the name of the action.
+func (a Action) String() string { return [...]string{"drop", "forward", "reset"}[a] }
+
+// Reason says why.
+type Reason uint8
+
+// The reasons.
+const (
+	// Tagged packets go where their tag says.
+	Tagged Reason = iota
+	// Placed flows begin here.
+	Placed
+	// Repeated first packets go where the first one went.
+	Repeated
+	// Moved first packets leave an upstream that doesn't answer.
+	Moved
+	// Unbound addresses have no route.
+	Unbound
+	// Empty services have no upstream.
+	Empty
+	// Unknown tags name no upstream that is known here.
+	Unknown
+	// Dead upstreams are proved not to answer.
+	Dead
+	// Untagged packets are not a flow's first and carry no tag.
+	Untagged
+	// Forged packets have flags that no Caller sends.
+	Forged
+	// Stale is for what can't be decided, since the own knowledge may be out of date.
+	Stale
+	reasons
+)
+
+// String returns the name of the reason.
+func (r Reason) String() string {
+	return [...]string{
+		"tagged", "placed", "repeated", "moved", "unbound", "empty", "unknown", "dead", "untagged", "forged", "stale",
+	}[r]
+}
+
+// Verdict is the decision on a packet.
+type Verdict struct {
+	Action Action
+	Reason Reason
+	// Instance and Address are those of the upstream, set for Forward.
+	Instance rattanwood.Instance
+	Address  netip.AddrPort
+}
+
+// Emission is a packet that is sent without one having arrived.
+type Emission struct {
+	Verdict
+	Segment rattanwood.Segment
+	// Packet is set for Forward.
+	Packet []byte
+}
+
+// Config builds a Tagger.
+type Config struct {
+	DataCentre rattanwood.DataCentre
+	// FreshAge is the age of the last confirmation up to which this balancer says no for good:
+	// an unbound address or an unknown tag may be news that it hasn't got yet.
+	FreshAge time.Duration
+	// ReturnTime is how long an upstream that has vanished from the registry may take to be back.
+	ReturnTime time.Duration
+	// UnknownTime is how long a tag must have been unknown before its flows are reset.
+	UnknownTime time.Duration
+	// KeepTime is how long a vanished upstream's address is kept for its flows.
+	KeepTime time.Duration
+	// RecentTime is how long a flow is remembered after its last packet.
+	RecentTime time.Duration
+	// RecentMost bounds the remembered flows.
+	RecentMost int
+	Random     *rand.Rand
+	Placer     *placer.Placer
+	Prober     *prober.Prober
+}
+
+// DefaultConfig returns the times that the daemon uses.
+func DefaultConfig() Config {
+	return Config{
+		FreshAge: 2 * time.Second,
+		// Upstreams register again within about two seconds of the source's return.
+		ReturnTime:  2500 * time.Millisecond,
+		UnknownTime: 3 * time.Second,
+		// The longest life of a flow on the users' sites.
+		KeepTime: 60 * time.Second,
+		// Covers all copies of a first packet, the last after 0.6 s, and two retransmissions.
+		RecentTime: 2 * time.Second,
+		RecentMost: 20_000,
+	}
+}
+
+// coldCapacity is the part of its slots that an upstream is given work for while it warms up.
+const coldCapacity = 0.6
+
+type upstream struct {
+	rattanwood.Registration
+	id   rattanwood.UpstreamID
+	warm time.Duration
+	// vanished is when the registration was removed; present upstreams have none.
+	vanished time.Duration
+	present  bool
+}
+
+func (u *upstream) capacity(now time.Duration) float64 {
+	if now < u.warm {
+		return float64(u.Slots) * coldCapacity
+	}
+	return float64(u.Slots)
+}
+
+// Tagger holds routes, upstreams and recent flows. It isn't safe for concurrent use.
+type Tagger struct {
+	cfg       Config
+	version   rattanwood.Version
+	routes    map[netip.AddrPort]*rattanwood.Route
+	upstreams map[rattanwood.UpstreamID]*upstream
+	services  map[rattanwood.ServiceID][]*upstream
+	recent    map[flowKey]*recentFlow
+	unknown   map[rattanwood.UpstreamID]time.Duration
+	confirmed time.Duration
+	sure      bool
+	counts    Counts
+}
+
+// Counts are the packets by decision.
+type Counts [Reset + 1][reasons]uint64
+
+// New returns a tagger without routes and upstreams.
+func New(cfg Config) *Tagger {
+	return &Tagger{
+		cfg:       cfg,
+		routes:    map[netip.AddrPort]*rattanwood.Route{},
+		upstreams: map[rattanwood.UpstreamID]*upstream{},
+		services:  map[rattanwood.ServiceID][]*upstream{},
+		recent:    map[flowKey]*recentFlow{},
+		unknown:   map[rattanwood.UpstreamID]time.Duration{},
+	}
+}
+
+// Confirm records that routes and upstreams were those of the source at a time.
+func (t *Tagger) Confirm(at time.Duration) {
+	if !t.sure || at > t.confirmed {
+		t.confirmed, t.sure = at, true
+	}
+}
+
+// fresh reports whether what isn't known here can be taken not to exist.
+func (t *Tagger) fresh(now time.Duration) bool {
+	return t.sure && now-t.confirmed <= t.cfg.FreshAge
+}
+
+// Version returns the version of the routes in force.
+func (t *Tagger) Version() rattanwood.Version { return t.version }
+
+// SetRouting puts routes in force and reports whether they are newer than those that were.
+func (t *Tagger) SetRouting(r *rattanwood.Routing) bool {
+	if r.Version <= t.version && len(t.routes) > 0 {
+		return false
+	}
+	t.version = r.Version
+	t.routes = make(map[netip.AddrPort]*rattanwood.Route, len(r.Routes))
+	for i := range r.Routes {
+		t.routes[r.Routes[i].Address] = &r.Routes[i]
+	}
+	return true
+}
+
+// SetRegistration takes in what an upstream says of itself. It reports false if another
+// upstream has the same tag, so that this one can't be used.
+func (t *Tagger) SetRegistration(now time.Duration, r rattanwood.Registration) bool {
+	id := r.Instance.Upstream()
+	u := t.upstreams[id]
+	if u != nil && u.present && u.Instance != r.Instance {
+		return false
+	}
+	if u == nil || u.Address != r.Address || u.Born != r.Born || !u.present {
+		t.cfg.Prober.Add(now, id)
+	}
+	if u == nil {
+		u = &upstream{id: id}
+		t.upstreams[id] = u
+	}
+	u.Registration, u.present, u.warm = r, true, now+r.Warmup
+	delete(t.unknown, id)
+	t.index()
+	return true
+}
+
+// RemoveRegistration records that an upstream has vanished from the registry.
+func (t *Tagger) RemoveRegistration(now time.Duration, in rattanwood.Instance) {
+	u := t.upstreams[in.Upstream()]
+	if u == nil || !u.present || u.Instance != in {
+		return
+	}
+	u.present, u.vanished = false, now
+}
+
+// index sorts the upstreams by service.
+func (t *Tagger) index() {
+	clear(t.services)
+	for _, u := range t.upstreams {
+		t.services[u.Service] = append(t.services[u.Service], u)
+	}
+	for _, pool := range t.services {
+		slices.SortFunc(pool, func(a, b *upstream) int { return cmp.Compare(a.id, b.id) })
+	}
+}
+
+// replaced reports whether a vanished upstream's address now belongs to another one.
+func (t *Tagger) replaced(u *upstream) bool {
+	for _, other := range t.upstreams {
+		if other.present && other.id != u.id && other.Address == u.Address {
+			return true
+		}
+	}
+	return false
+}
+
+// Tick forgets what is over.
+func (t *Tagger) Tick(now time.Duration) {
+	for id, u := range t.upstreams {
+		if !u.present && now-u.vanished > t.cfg.KeepTime {
+			delete(t.upstreams, id)
+			t.cfg.Prober.Remove(id)
+			t.index()
+		}
+	}
+	for id, since := range t.unknown {
+		if now-since > t.cfg.KeepTime {
+			delete(t.unknown, id)
+		}
+	}
+	t.sweep(now)
+}
+
+// Upstream returns an upstream's address, data centre, and whether it is registered.
+func (t *Tagger) Upstream(id rattanwood.UpstreamID) (r rattanwood.Registration, present, ok bool) {
+	u := t.upstreams[id]
+	if u == nil {
+		return rattanwood.Registration{}, false, false
+	}
+	return u.Registration, u.present, true
+}
+
+// Counts returns the packets by decision.
+func (t *Tagger) Counts() *Counts { return &t.counts }
