Flood records and confirmations to neighbours, and check upstreams on evidence

Change: neighbours at powers of two (detector.Sparse), one reader chosen by the freshness of numbered confirmations, checks on retransmissions with a control and a budget, and the pushes kept by the replicator, so that they are contiguous. Garbage is collected at 25 percent. Ruled out: ages without numbers (they look younger with every hop and flooded at 50 ms). Found by the differential test: an older listing brought deleted records back; a listing can't be passed on.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -141,7 +141,7 @@
 	}
 	b.Router.SetCatalog(now, compiler.Compile(doc, newest))
 	b.fetching = 0
-	b.Members.Hurry(now)
+	b.Members.Hurry()
 	return true
 }
 
@@ -152,7 +152,7 @@
 func (b *Balancer) Observe(now time.Duration, id rattanwood.UpstreamID, s marker.State) {
 	if b.Marks.Observe(now, id, s) {
 		b.Router.Recheck()
-		b.Members.Hurry(now)
+		b.Members.Hurry()
 	}
 }
 
@@ -163,7 +163,7 @@
 	}
 	b.leaving = true
 	b.left = now
-	b.Members.Hurry(now)
+	b.Members.Hurry()
 }
 
 // Left reports whether a leaving balancer has nothing more to do for its peers.
--- a/balancer/message.go
+++ b/balancer/message.go
@@ -167,7 +167,7 @@
 	}
 	if news {
 		b.Router.Recheck()
-		b.Members.Hurry(now)
+		b.Members.Hurry()
 	}
 }
 
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -62,6 +62,9 @@
 	Gap time.Duration
 	// Seed feeds the choice of witnesses.
 	Seed uint64
+	// Sparse lets each member beat only its neighbours, so that its cost hardly grows with the
+	// fleet. Then nothing is proved about the others.
+	Sparse bool
 }
 
 // Knowledge is what a heartbeat says of its sender.
@@ -99,6 +102,7 @@
 	woke    time.Duration
 	waking  bool
 	started bool
+	hurried bool
 	// roster is the digest of the members; stale is set when it has to be computed again.
 	roster uint64
 	stale  bool
@@ -118,12 +122,19 @@
 func (d *Detector) Tick(now time.Duration) (beats []*Member, probes []Question) {
 	d.wake(now)
 	d.ticked = now
-	if now-d.beat < d.cfg.Beat && d.seq != 0 {
+	wait := d.cfg.Beat
+	if d.hurried {
+		wait = hurry
+	}
+	if now-d.beat < wait && d.seq != 0 {
 		return nil, nil
 	}
-	d.beat = now
+	d.beat, d.hurried = now, false
 	d.seq++
 	d.sent[d.seq%remembered] = now
+	if d.cfg.Sparse {
+		d.choose(now)
+	}
 	for _, m := range d.order {
 		probes = append(probes, d.judge(now, m)...)
 		if m.due(now, d.cfg.Beat) {
@@ -131,6 +142,9 @@
 			beats = append(beats, m)
 		}
 	}
+	if d.cfg.Sparse {
+		beats = append(beats, d.stranger(now)...)
+	}
 	return beats, probes
 }
 
@@ -140,20 +154,19 @@
 	Target  rattanwood.VMID
 }
 
-// Hurry makes the next tick beat all members, to spread news.
-func (d *Detector) Hurry(now time.Duration) {
-	if d.seq != 0 && now-d.beat >= hurry {
-		d.beat = now - d.cfg.Beat
-	}
-}
+// Hurry makes one of the next ticks beat all members, to spread news.
+func (d *Detector) Hurry() { d.hurried = true }
 
 // hurry is the shortest time between two rounds of heartbeats.
-const hurry = 100 * time.Millisecond
+const hurry = 50 * time.Millisecond
 
 // slowdown is how much less often members are beaten that are not alive.
 const slowdown = 4
 
 func (m *Member) due(now, beat time.Duration) bool {
+	if m.distant {
+		return false
+	}
 	if m.State == Alive || m.State == Suspect {
 		return true
 	}
@@ -187,6 +200,13 @@
 	switch {
 	case m.State != Alive && m.State != Suspect:
 		return nil
+	case m.distant:
+		if silence >= d.cfg.Suspect {
+			// Nobody beats here without being a neighbour, so silence says nothing.
+			m.State = Listed
+			d.stale = true
+		}
+		return nil
 	case silence >= d.cfg.Dead:
 		m.State = Dead
 		d.stale = true
@@ -234,10 +254,10 @@
 // An answer from an earlier incarnation is ignored and ok is false.
 func (d *Detector) Heard(now time.Duration, vm rattanwood.VMID, life rattanwood.Incarnation, b *wire.Beat, own Knowledge) (e Event, ok bool) {
 	m, known := d.rows[vm]
-	if !known || life < m.Life {
+	if !known || life < m.Life && !d.steppedBack(now, m) {
 		return Event{}, false
 	}
-	if life > m.Life {
+	if life != m.Life {
 		m.Life = life
 		d.stale = true
 		m.proved = 0
@@ -256,6 +276,13 @@
 	return e, true
 }
 
+// steppedBack reports whether an earlier incarnation may be a new one of a VM whose clock was set
+// back: datagrams of a life that has ended don't arrive this late. Only a sparse detector, on which no
+// promise about requests rests, takes that for proof.
+func (d *Detector) steppedBack(now time.Duration, m *Member) bool {
+	return d.cfg.Sparse && now-m.heard >= d.cfg.Suspect
+}
+
 func (d *Detector) revive(now time.Duration, m *Member, b *wire.Beat) {
 	m.heard = now
 	m.received = now
--- a/detector/roster.go
+++ b/detector/roster.go
@@ -26,6 +26,8 @@
 	// Seed is the member's in every ranking.
 	Seed uint64
 
+	// distant members are not neighbours; only a sparse detector has them.
+	distant   bool
 	heard     time.Duration
 	vouched   time.Duration
 	contacted time.Duration
@@ -99,7 +101,7 @@
 	}
 	sum := ranker.Score(ranker.Seed(string(d.cfg.Self)), uint64(d.cfg.Life))
 	for _, m := range d.order {
-		if m.State == Alive {
+		if m.State == Alive && !d.cfg.Sparse {
 			sum ^= ranker.Score(m.Seed, uint64(m.Life))
 		}
 	}
@@ -114,7 +116,7 @@
 		Address: d.cfg.Address.String(), Centre: string(d.cfg.DataCentre),
 	}}}
 	for _, m := range d.order {
-		if m.State == Alive {
+		if m.State == Alive || d.cfg.Sparse && m.State == Listed && m.DataCentre != "" {
 			r.Members = append(r.Members, &wire.Member{
 				Vm: string(m.VM), Life: uint64(m.Life),
 				Address: m.Address.String(), Centre: string(m.DataCentre),
--- a/internal/cli/balancer.go
+++ b/internal/cli/balancer.go
@@ -28,6 +28,10 @@
 // dumpDeadline bounds the wait for a process's state.
 const dumpDeadline = 5 * time.Second
 
+// tagGarbage is the garbage, in percent of the live heap, at which it is collected with the affinity tag: a
+// balancer without a table of flows has a heap of a megabyte or two, and processor time to spare.
+const tagGarbage = 25
+
 // balancerCommands is the command line of rattanwood.
 type balancerCommands struct {
 	Serve   serveCommand   `cmd:"" help:"Run a balancer until it is told to stop."`
@@ -77,6 +81,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	if set.Affinity == settings.Tag {
+		debug.SetGCPercent(tagGarbage)
 		n, err := node.New(node.Config{
 			Settings: set, File: c.Settings, Life: life, Log: log,
 			Source: platform.NewStore(netip.MustParseAddrPort(set.Platform)), Interpreter: platform.Interpreter{},
--- a/internal/node/checks.go
+++ b/internal/node/checks.go
@@ -24,16 +24,15 @@
 )
 
 // startChecks opens a connection to each upstream and closes it at once.
-func (n *Node) startChecks(ctx context.Context, due []rattanwood.UpstreamID) {
+func (n *Node) startChecks(ctx context.Context, began time.Duration, due []rattanwood.UpstreamID) {
 	for _, id := range due {
-		n.running.Go(func() { n.check(ctx, id) })
+		n.running.Go(func() { n.check(ctx, began, id) })
 	}
 }
 
-func (n *Node) check(ctx context.Context, id rattanwood.UpstreamID) {
+func (n *Node) check(ctx context.Context, began time.Duration, id rattanwood.UpstreamID) {
 	n.mu.Lock()
 	r, _, ok := n.flows.Upstream(id)
-	began := n.now()
 	n.mu.Unlock()
 	outcome := prober.Unclear
 	if ok {
@@ -45,11 +44,11 @@
 	if outcome == prober.Silent && (n.stalled >= began || now-began > checkDeadline+stallMost) {
 		outcome = prober.Unclear
 	}
-	v := n.checks.Result(id, outcome)
+	v := n.checks.Result(id, began, outcome)
 	var emissions []tagger.Emission
 	if v.Avoid {
 		emissions = n.flows.Moves(now, id)
-		n.talk.Members.Hurry(now)
+		n.talk.Members.Hurry()
 	}
 	if v.Dead {
 		emissions = append(emissions, n.flows.Ends(id)...)
--- a/internal/node/dump.go
+++ b/internal/node/dump.go
@@ -14,6 +14,7 @@
 	// Age is the time in milliseconds since the records were known to be current, -1 for never.
 	Age       int64                `json:"age"`
 	Rank      int                  `json:"rank"`
+	Reading   bool                 `json:"reading"`
 	Blind     bool                 `json:"blind"`
 	Leaving   bool                 `json:"leaving"`
 	Members   []MemberState        `json:"members"`
@@ -39,7 +40,7 @@
 	now := n.now()
 	s := &State{
 		VM: n.cfg.Settings.VM, Life: uint64(n.cfg.Life), Revision: n.copy.At(), Version: n.flows.Version(), Age: -1,
-		Rank: n.talk.ReaderRank(), Blind: n.watch.Blind(now), Leaving: n.leaving.Load(),
+		Rank: n.talk.ReaderRank(), Reading: n.watch.Active(), Blind: n.watch.Blind(), Leaving: n.leaving.Load(),
 		Members: []MemberState{}, Upstreams: n.flows.Upstreams(now), Flows: n.flows.Flows(rows),
 	}
 	if age, ok := n.watch.Age(now); ok {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,7 +103,7 @@
 			n.talk.Members.Add(seedName(address), address, "")
 		}
 	}
-	n.watch = watcher.New(watcherConfig(settings.Duration(set.Times.Apply), random))
+	n.watch = watcher.New(watcherConfig(settings.Duration(set.Times.Apply), n.talk.Reader(), random))
 	n.checks = prober.New(prober.DefaultConfig())
 	n.loads = placer.New(placer.DefaultConfig(random))
 	t := tagger.DefaultConfig()
@@ -136,21 +136,23 @@
 			Hold:       settings.Duration(set.Times.Hold),
 			Gap:        settings.Duration(set.Times.Gap),
 			Seed:       uint64(cfg.Life),
+			Sparse:     true,
 		},
 		Limiter: limiter.Config{Rate: set.Control.Rate, Burst: set.Control.Burst},
 	}
 }
 
 // watcherConfig divides the time in which a change must be in force: a third for a watch of the
-// first reader that went silent, half until the next rank reads, the rest for reading and passing on.
-func watcherConfig(apply time.Duration, random *rand.Rand) watcher.Config {
+// reader that went silent, half until the next rank reads, the rest for reading and passing on.
+func watcherConfig(apply time.Duration, self watcher.Reader, random *rand.Rand) watcher.Config {
 	return watcher.Config{
+		Self:         self,
 		Patience:     apply / 2,
 		Stagger:      apply / 30,
 		StaggerMost:  apply / 6,
+		Yield:        apply / 3,
 		BackOffLeast: apply / 10,
 		BackOffMost:  apply,
-		BlindTime:    2 * apply,
 		Random:       random,
 	}
 }
@@ -239,7 +241,7 @@
 	n.leaving.Store(true)
 	n.log.Info("leaving")
 	n.mu.Lock()
-	n.talk.Members.Hurry(n.now())
+	n.talk.Members.Hurry()
 	n.mu.Unlock()
 	begin := time.Now()
 	most := time.Duration(n.cfg.Settings.Times.Grace * graceShare * float64(time.Second))
@@ -300,7 +302,7 @@
 		actions := n.talk.Take()
 		n.mu.Unlock()
 		n.perform(ctx, actions)
-		n.startChecks(ctx, due)
+		n.startChecks(ctx, now, due)
 	}
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -16,6 +16,7 @@
 	"example.org/rattanwood/internal/logger"
 	"example.org/rattanwood/messenger"
 	"example.org/rattanwood/prober"
+	"example.org/rattanwood/watcher"
 	"example.org/rattanwood/wire"
 )
 
@@ -25,11 +26,12 @@
 // knowledge is what heartbeats say; mu is held.
 func (n *Node) knowledge() messenger.Knowledge {
 	now := n.now()
-	age, ok := n.watch.Age(now)
+	c, ok := n.watch.Newest()
 	k := messenger.Knowledge{
-		Revision: n.copy.At(), Age: age, Confirmed: ok,
-		Leaving: n.leaving.Load(), Blind: n.watch.Blind(now), Failing: n.checks.Failing(),
+		Revision: n.copy.At(), Age: now - c.At, Confirmed: ok, Reader: c.Reader, Seq: c.Seq,
+		Leaving: n.leaving.Load(), Blind: n.watch.Blind(), Failing: n.checks.Failing(),
 	}
+	k.Prior, k.Records = n.copy.Take()
 	for _, id := range n.flows.Registered() {
 		if work := n.loads.Own(now, id); work > 0 {
 			k.Loads = append(k.Loads, messenger.Load{Upstream: id, Work: work})
@@ -83,14 +85,14 @@
 	case news.Revision > n.copy.At() || !n.copy.Whole() && news.Confirmed:
 		n.talk.Behind(now, news.From, n.after())
 	case news.Revision == n.copy.At() && news.Confirmed && n.copy.Whole():
-		n.confirm(now - news.Age)
+		n.confirm(now, watcher.Confirmation{Reader: news.Reader, Seq: news.Seq, At: now - news.Age})
 	}
 	for _, l := range news.Loads {
 		n.loads.Merge(now, news.From, l.Upstream, l.Work)
 	}
 	for _, id := range news.Failing {
 		if !n.checks.Avoid(id) {
-			n.checks.Hint(id)
+			n.checks.Rumour(id)
 		}
 	}
 }
@@ -147,20 +149,25 @@
 	}
 	now, revision := n.now(), rattanwood.Revision(reply.GetRevision())
 	records := messenger.DecodeRecords(reply.GetRecords())
+	var changed []rattanwood.Record
 	if reply.GetWhole() {
-		n.apply(now, string(a.VM), n.copy.Replace(records, revision))
-	} else if changed, ok := n.copy.Apply(a.After, rattanwood.Changes{Records: records, At: revision}); ok {
-		n.apply(now, string(a.VM), changed)
+		changed = n.copy.Replace(records, revision)
+	} else {
+		// Changes that don't fit any more are fetched again with the next heartbeat.
+		changed, _ = n.copy.Apply(a.After, rattanwood.Changes{Records: records, At: revision})
 	}
+	n.apply(now, string(a.VM), changed)
 	if age, ok := messenger.DecodeAge(reply.GetConfirmed()); ok && revision == n.copy.At() {
-		n.confirm(asked - age)
+		n.confirm(now, watcher.Confirmation{Reader: watcher.Reader(reply.GetReader()), Seq: reply.GetConfirmation(), At: asked - age})
 	}
 }
 
-// confirm records that the copy was current at a time; mu is held.
-func (n *Node) confirm(at time.Duration) {
-	n.watch.Confirm(at)
-	n.flows.Confirm(at)
+// confirm takes in a confirmation, and lets the neighbours know soon if it is news; mu is held.
+func (n *Node) confirm(now time.Duration, c watcher.Confirmation) {
+	if n.watch.Confirm(now, c) {
+		n.flows.Confirm(c.At)
+		n.talk.Members.Hurry()
+	}
 }
 
 // serveCalls serves the calls of other balancers.
@@ -189,10 +196,11 @@
 		return nil, oops.Code("not_whole").Errorf("no records yet")
 	}
 	records, whole := n.copy.Since(rattanwood.Revision(r.GetAfter()))
-	age, ok := n.watch.Age(n.now())
+	confirmed, ok := n.watch.Newest()
 	return &wire.SyncReply{
 		Revision: uint64(n.copy.At()), Whole: whole || r.GetAfter() == 0,
-		Records: messenger.EncodeRecords(records), Confirmed: messenger.EncodeAge(age, ok),
+		Records: messenger.EncodeRecords(records), Confirmed: messenger.EncodeAge(n.now()-confirmed.At, ok),
+		Reader: uint64(confirmed.Reader), Confirmation: confirmed.Seq,
 	}, nil
 }
 
@@ -200,7 +208,9 @@
 func (n *Node) duty(id rattanwood.UpstreamID) prober.Duty {
 	r, present, ok := n.flows.Upstream(id)
 	switch {
-	case !ok || !present || n.leaving.Load() || !n.talk.Duty(id):
+	case !ok || !present:
+		return prober.Absent
+	case n.leaving.Load() || !n.talk.Duty(id):
 		return prober.Watched
 	case string(r.DataCentre) == n.cfg.Settings.Centre:
 		return prober.Local
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -65,12 +65,9 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now, prior := n.now(), n.copy.At()
-	n.watch.Succeeded()
-	changed := n.copy.Replace(records, at)
-	n.apply(now, "source", changed)
-	n.confirm(began)
-	n.talk.Push(now, prior, changed)
+	now := n.now()
+	n.apply(now, "source", n.copy.Replace(records, at))
+	n.confirmRead(now, began)
 }
 
 func (n *Node) list(ctx context.Context, after string) (rattanwood.Page, error) {
@@ -107,21 +104,26 @@
 	}
 	n.mu.Lock()
 	now := n.now()
-	if n.watch.Blind(now) {
+	if n.watch.Blind() {
 		n.log.Info("source regained", zap.Uint64(logger.KeyRevision, uint64(changes.At)))
 	}
-	n.watch.Succeeded()
 	if changed, ok := n.copy.Apply(prior, changes); ok {
 		n.apply(now, "source", changed)
-		n.talk.Push(now, prior, changed)
 	}
-	n.confirm(max(began, now-confirmSlack))
+	n.confirmRead(now, max(began, now-confirmSlack))
 	n.mu.Unlock()
 	if len(changes.Records) > 0 {
 		pause(ctx, gatherTime)
 	}
 }
 
+// confirmRead records that this balancer found the copy current at a time; mu is held.
+func (n *Node) confirmRead(now, at time.Duration) {
+	n.watch.Read(now, at)
+	n.flows.Confirm(at)
+	n.talk.Members.Hurry()
+}
+
 func (n *Node) readFailed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
@@ -131,7 +133,7 @@
 	now := n.now()
 	n.watch.Failed(now)
 	age, _ := n.watch.Age(now)
-	n.talk.Members.Hurry(now)
+	n.talk.Members.Hurry()
 	n.mu.Unlock()
 	n.log.Warn("source lost", zap.Int64(logger.KeyAge, age.Milliseconds()), zap.String(logger.KeyError, err.Error()))
 }
@@ -141,6 +143,9 @@
 	for _, r := range changed {
 		n.applyRecord(now, from, r)
 	}
+	if len(changed) > 0 {
+		n.talk.Members.Hurry()
+	}
 	if n.copy.Whole() && !n.newborn && n.flows.Version() > 0 {
 		n.newborn = true
 		close(n.whole)
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -14,6 +14,7 @@
 	"example.org/rattanwood/detector"
 	"example.org/rattanwood/limiter"
 	"example.org/rattanwood/ranker"
+	"example.org/rattanwood/watcher"
 	"example.org/rattanwood/wire"
 )
 
@@ -61,12 +62,18 @@
 	// Age is the time since the records were known to be current; Confirmed is set if they ever were.
 	Age       time.Duration
 	Confirmed bool
-	Leaving   bool
+	// Reader and Seq name the confirmation.
+	Reader  watcher.Reader
+	Seq     uint64
+	Leaving bool
 	// Blind is set while the source doesn't answer.
 	Blind bool
 	Loads []Load
 	// Failing are the upstreams that fail the sender's checks.
 	Failing []rattanwood.UpstreamID
+	// Records are all that changed after the revision Prior.
+	Prior   rattanwood.Revision
+	Records []rattanwood.Record
 }
 
 // Load is the work that a balancer gave to an upstream lately, in requests.
@@ -79,22 +86,15 @@
 type News struct {
 	From rattanwood.VMID
 	Knowledge
-	// Prior is the revision that Records follow; without records it is of no use.
-	Prior   rattanwood.Revision
-	Records []rattanwood.Record
 }
 
 // Messenger is the state of one balancer's talk.
 type Messenger struct {
-	cfg     Config
-	seed    uint64
-	Members *detector.Detector
-	Limits  *limiter.Limiter
-	actions []Action
-	// prior and pending are the records that the next heartbeats carry.
-	prior    rattanwood.Revision
-	pending  []rattanwood.Record
-	size     int
+	cfg      Config
+	seed     uint64
+	Members  *detector.Detector
+	Limits   *limiter.Limiter
+	actions  []Action
 	rostered time.Duration
 	synced   time.Duration
 }
@@ -116,18 +116,6 @@
 	return out
 }
 
-// Push lets the next heartbeats, which go out soon, carry records that changed after prior.
-func (m *Messenger) Push(now time.Duration, prior rattanwood.Revision, records []rattanwood.Record) {
-	if len(m.pending) == 0 {
-		m.prior, m.size = prior, 0
-	}
-	for _, r := range records {
-		m.size += len(r.Key) + len(r.Value)
-	}
-	m.pending = append(m.pending, records...)
-	m.Members.Hurry(now)
-}
-
 // Tick runs the systems. Knowledge is asked for only if heartbeats are due.
 func (m *Messenger) Tick(now time.Duration, know func() Knowledge) {
 	beats, probes := m.Members.Tick(now)
@@ -141,18 +129,22 @@
 	common := m.encode(k)
 	for _, to := range beats {
 		beat := m.Members.Beat(now, to, detector.Knowledge{Version: rattanwood.Version(k.Revision), Leaving: k.Leaving, Blind: k.Blind})
-		beat.Confirmed, beat.Prior, beat.Records = common.Confirmed, common.Prior, common.Records
+		beat.Confirmed, beat.Reader, beat.Confirmation = common.Confirmed, common.Reader, common.Confirmation
+		beat.Prior, beat.Records = common.Prior, common.Records
 		beat.Loads, beat.Failing = common.Loads, common.Failing
 		m.send(now, limiter.Liveness, to, &wire.Envelope{Body: &wire.Envelope_Beat{Beat: beat}})
 	}
-	m.pending = nil
 }
 
 // encode builds the part of a heartbeat that is the same for all receivers.
 func (m *Messenger) encode(k Knowledge) *wire.Beat {
-	beat := &wire.Beat{Confirmed: EncodeAge(k.Age, k.Confirmed)}
-	if m.size <= pushMost {
-		beat.Prior, beat.Records = uint64(m.prior), EncodeRecords(m.pending)
+	beat := &wire.Beat{Confirmed: EncodeAge(k.Age, k.Confirmed), Reader: uint64(k.Reader), Confirmation: k.Seq}
+	size := 0
+	for _, r := range k.Records {
+		size += len(r.Key) + len(r.Value)
+	}
+	if size <= pushMost {
+		beat.Prior, beat.Records = uint64(k.Prior), EncodeRecords(k.Records)
 	}
 	for _, l := range k.Loads {
 		beat.Loads = append(beat.Loads, &wire.Load{Upstream: uint32(l.Upstream), Work: uint32(l.Work * hundredths)})
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -8,6 +8,7 @@
 	"example.org/rattanwood/detector"
 	"example.org/rattanwood/limiter"
 	"example.org/rattanwood/ranker"
+	"example.org/rattanwood/watcher"
 	"example.org/rattanwood/wire"
 )
 
@@ -19,7 +20,7 @@
 		m.Members.Add(vm, from, "")
 	}
 	sender, known := m.Members.Member(vm)
-	if !known || rattanwood.Incarnation(e.GetLife()) < sender.Life {
+	if !known {
 		return News{}, false
 	}
 	switch body := e.GetBody().(type) {
@@ -48,9 +49,11 @@
 		m.rostered = now
 		m.send(now, limiter.State, sender, &wire.Envelope{Body: &wire.Envelope_Pull{Pull: &wire.Pull{Roster: true}}})
 	}
-	news := News{From: sender.VM, Prior: rattanwood.Revision(beat.GetPrior()), Records: DecodeRecords(beat.GetRecords())}
+	news := News{From: sender.VM}
+	news.Prior, news.Records = rattanwood.Revision(beat.GetPrior()), DecodeRecords(beat.GetRecords())
 	news.Revision, news.Leaving, news.Blind = rattanwood.Revision(beat.GetVersion()), beat.GetLeaving(), beat.GetBlind()
 	news.Age, news.Confirmed = DecodeAge(beat.GetConfirmed())
+	news.Reader, news.Seq = watcher.Reader(beat.GetReader()), beat.GetConfirmation()
 	for _, l := range beat.GetLoads() {
 		news.Loads = append(news.Loads, Load{Upstream: rattanwood.UpstreamID(l.GetUpstream()), Work: float64(l.GetWork()) / hundredths})
 	}
@@ -73,16 +76,24 @@
 // Synced records that a fetch has ended, so that another may begin at once.
 func (m *Messenger) Synced() { m.synced = 0 }
 
-// able reports whether a member can take on duties.
+// able reports whether a member can take on duties, as far as is known here.
 func able(d *detector.Member) bool {
-	return d.State == detector.Alive && !d.Leaving
+	return d.State != detector.Dead && !d.Leaving && d.DataCentre != ""
 }
 
-// ReaderRank returns how many balancers that can read the source come before this one.
+// ReaderRank returns how many balancers come before this one in taking over the reading of the source.
 func (m *Messenger) ReaderRank() int {
-	return m.rank(ranker.Seed("reader"), func(d *detector.Member) bool { return !d.Blind })
+	return m.rank(readerKey, func(*detector.Member) bool { return true })
 }
 
+// Reader returns the number of this life as a reader.
+func (m *Messenger) Reader() watcher.Reader {
+	return watcher.Reader(ranker.Score(m.seed, uint64(m.cfg.Detector.Life)))
+}
+
+// readerKey orders the readers.
+var readerKey = ranker.Seed("reader")
+
 // Duty reports whether the check of an upstream falls to this balancer in its data centre.
 func (m *Messenger) Duty(id rattanwood.UpstreamID) bool {
 	return m.rank(uint64(id), func(d *detector.Member) bool { return d.DataCentre == m.cfg.Detector.DataCentre }) == 0
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -4,10 +4,12 @@
 package prober
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"example.org/rattanwood"
+	"example.org/rattanwood/limiter"
 )
 
 // Outcome is what a check saw.
@@ -35,8 +37,10 @@
 
 // The duties.
 const (
+	// Absent upstreams are no longer registered and checked only on a hint.
+	Absent Duty = iota
 	// Watched upstreams are another balancer's duty.
-	Watched Duty = iota
+	Watched
 	// Remote upstreams are in another data centre and fall to this balancer.
 	Remote
 	// Local upstreams are in this data centre and fall to this balancer.
@@ -45,22 +49,30 @@
 
 // Config builds a Prober.
 type Config struct {
-	// LocalPeriod and RemotePeriod are the times between two checks of a duty.
+	// LocalPeriod and RemotePeriod are the times between two checks of a duty. Dead upstreams that
+	// have traffic are found by hints before that.
 	LocalPeriod, RemotePeriod time.Duration
 	// RecheckPeriod is the time between two checks of an upstream that fails.
 	RecheckPeriod time.Duration
-	// HintPause is the shortest time between two checks that hints lead to.
-	HintPause time.Duration
+	// HintPause and RumourPause are the shortest times between two checks that own evidence, or what
+	// peers say, leads to.
+	HintPause, RumourPause time.Duration
+	// Rate and Burst bound the checks: a second's, and those that may be saved up.
+	Rate, Burst int
 }
 
-// DefaultConfig returns periods that find a dead local upstream before a Caller's first retransmission
-// has been sent twice, for a cost of a few connections a second and upstream.
+// DefaultConfig returns the periods that the daemon uses.
 func DefaultConfig() Config {
 	return Config{
-		LocalPeriod:   300 * time.Millisecond,
-		RemotePeriod:  time.Second,
-		RecheckPeriod: 500 * time.Millisecond,
-		HintPause:     300 * time.Millisecond,
+		LocalPeriod:   time.Second,
+		RemotePeriod:  3 * time.Second,
+		RecheckPeriod: time.Second,
+		// A Caller repeats a packet after 200 ms; the second repetition is no further evidence.
+		HintPause:   300 * time.Millisecond,
+		RumourPause: 2 * time.Second,
+		// A whole service of 40 upstreams can be checked at once; in the long run a node opens as
+		// few connections as two Callers do.
+		Rate: 5, Burst: 40,
 	}
 }
 
@@ -69,8 +81,8 @@
 	// upstream: two, because one connection can be lost.
 	failsToAvoid = 2
 	// silencesToDie is the number of silent checks in a row that prove an upstream unreachable
-	// from here; a refusal needs only failsToAvoid.
-	silencesToDie = 3
+	// from here; a refusal needs only failsToAvoid, since a host sent it.
+	silencesToDie = 4
 )
 
 type row struct {
@@ -78,18 +90,28 @@
 	refused int
 	running bool
 	hinted  bool
+	rumour  bool
 	checked time.Duration
+	// answered is when the last check that was answered began.
+	answered time.Duration
 }
 
 // Prober is the table of checks. It isn't safe for concurrent use.
 type Prober struct {
-	cfg  Config
-	rows map[rattanwood.UpstreamID]*row
+	cfg    Config
+	rows   map[rattanwood.UpstreamID]*row
+	budget *limiter.Limiter
+	// control is when the latest of the answered checks began.
+	control time.Duration
 }
 
 // New returns an empty table.
 func New(cfg Config) *Prober {
-	return &Prober{cfg: cfg, rows: map[rattanwood.UpstreamID]*row{}}
+	return &Prober{
+		cfg:    cfg,
+		rows:   map[rattanwood.UpstreamID]*row{},
+		budget: limiter.New(limiter.Config{Rate: cfg.Rate, Burst: cfg.Burst}),
+	}
 }
 
 // Add begins to watch an upstream, or forgets what was seen of an earlier life of it.
@@ -112,31 +134,52 @@
 	}
 }
 
-// Due returns the upstreams to check now, in the order of their ids. Each of
-// them must be followed by a Result.
+// Rumour asks for a check, because a peer says that the upstream fails its checks.
+func (p *Prober) Rumour(id rattanwood.UpstreamID) {
+	if r := p.rows[id]; r != nil {
+		r.rumour = true
+	}
+}
+
+// Due returns the upstreams to check now. Each of them must be followed by a Result. Checks that may
+// find an upstream silent come with one of an upstream that answered lately, as a control.
 func (p *Prober) Due(now time.Duration, duty func(rattanwood.UpstreamID) Duty) []rattanwood.UpstreamID {
 	var due []rattanwood.UpstreamID
-	for id, r := range p.rows {
-		if r.running || !p.due(now, r, duty(id)) {
+	doubt := false
+	for _, id := range slices.Sorted(maps.Keys(p.rows)) {
+		r := p.rows[id]
+		if r.running || !p.due(now, r, duty(id)) || !p.budget.Allow(now, limiter.Answers, 1) {
 			continue
 		}
-		r.running, r.hinted, r.checked = true, false, now
+		doubt = doubt || r.fails > 0 || r.hinted || r.rumour
+		r.start(now)
 		due = append(due, id)
 	}
-	slices.Sort(due)
+	if doubt {
+		if id, ok := p.pickControl(); ok {
+			p.rows[id].start(now)
+			due = append(due, id)
+		}
+	}
 	return due
 }
 
+func (r *row) start(now time.Duration) {
+	r.running, r.hinted, r.rumour, r.checked = true, false, false, now
+}
+
 func (p *Prober) due(now time.Duration, r *row, d Duty) bool {
 	age := now - r.checked
 	switch {
-	case r.fails > 0 && r.fails < silencesToDie:
+	case r.fails > 0 && r.fails < silencesToDie && d != Absent:
 		// The verdict is near, and each moment costs the Callers of this upstream.
 		return true
+	case r.hinted && age >= p.cfg.HintPause, r.rumour && age >= p.cfg.RumourPause:
+		return true
+	case d == Absent:
+		return false
 	case r.fails > 0:
 		return age >= p.cfg.RecheckPeriod
-	case r.hinted && age >= p.cfg.HintPause:
-		return true
 	case d == Local:
 		return age >= p.cfg.LocalPeriod
 	case d == Remote:
@@ -145,6 +188,20 @@
 	return false
 }
 
+// pickControl returns the upstream that answered last of those that are not being checked.
+func (p *Prober) pickControl() (id rattanwood.UpstreamID, ok bool) {
+	var best *row
+	for candidate, r := range p.rows {
+		if r.running || r.fails > 0 || r.answered == 0 {
+			continue
+		}
+		if best == nil || r.answered > best.answered || r.answered == best.answered && candidate < id {
+			best, id = r, candidate
+		}
+	}
+	return id, best != nil
+}
+
 // Verdict is what a result changed.
 type Verdict struct {
 	// Avoid and Dead are set when the upstream has just come into that state.
@@ -153,17 +210,26 @@
 	Well bool
 }
 
-// Result takes in the outcome of a check.
-func (p *Prober) Result(id rattanwood.UpstreamID, o Outcome) Verdict {
+// Result takes in the outcome of a check that began at a time. Silence counts only if a
+// check that began no earlier has been answered already: otherwise this process or its own
+// links may have been too slow to notice the answer.
+func (p *Prober) Result(id rattanwood.UpstreamID, began time.Duration, o Outcome) Verdict {
+	if o == Answered {
+		p.control = max(p.control, began)
+	}
 	r := p.rows[id]
 	if r == nil {
 		return Verdict{}
 	}
 	r.running = false
+	if o == Silent && (p.control == 0 || p.control < began) {
+		r.hinted = true
+		return Verdict{}
+	}
 	avoided, dead := r.avoid(), r.dead()
 	switch o {
 	case Answered:
-		r.fails, r.refused = 0, 0
+		r.fails, r.refused, r.answered = 0, 0, max(began, 1)
 	case Refused:
 		r.fails++
 		r.refused++
--- /dev/null
+++ b/prober/prober_test.go
@@ -0,0 +1,183 @@
+package prober_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/prober"
+)
+
+const (
+	step    = 50 * time.Millisecond
+	timeout = 150 * time.Millisecond
+)
+
+// world plays checks of upstreams 1 to n in virtual time.
+type world struct {
+	p     *prober.Prober
+	n     int
+	now   time.Duration
+	ends  map[rattanwood.UpstreamID]check
+	see   func(now time.Duration, id rattanwood.UpstreamID) prober.Outcome
+	duty  prober.Duty
+	count int
+	// avoided and died are when the first verdict of each kind came.
+	avoided, died map[rattanwood.UpstreamID]time.Duration
+}
+
+type check struct {
+	began, ends time.Duration
+	outcome     prober.Outcome
+}
+
+func newWorld(n int) *world {
+	w := &world{
+		p: prober.New(prober.DefaultConfig()), n: n, ends: map[rattanwood.UpstreamID]check{}, duty: prober.Local,
+		see:     func(time.Duration, rattanwood.UpstreamID) prober.Outcome { return prober.Answered },
+		avoided: map[rattanwood.UpstreamID]time.Duration{}, died: map[rattanwood.UpstreamID]time.Duration{},
+	}
+	for i := range n {
+		w.p.Add(0, rattanwood.UpstreamID(i+1))
+	}
+	return w
+}
+
+func (w *world) run(until time.Duration) {
+	for ; w.now < until; w.now += step {
+		for id := rattanwood.UpstreamID(1); int(id) <= w.n; id++ {
+			if c, ok := w.ends[id]; ok && c.ends <= w.now {
+				delete(w.ends, id)
+				w.result(id, c)
+			}
+		}
+		for _, id := range w.p.Due(w.now, func(rattanwood.UpstreamID) prober.Duty { return w.duty }) {
+			w.count++
+			c := check{began: w.now, ends: w.now, outcome: w.see(w.now, id)}
+			if c.outcome == prober.Silent {
+				c.ends += timeout
+			}
+			w.ends[id] = c
+		}
+	}
+}
+
+func (w *world) result(id rattanwood.UpstreamID, c check) {
+	v := w.p.Result(id, c.began, c.outcome)
+	if _, ok := w.avoided[id]; v.Avoid && !ok {
+		w.avoided[id] = w.now
+	}
+	if _, ok := w.died[id]; v.Dead && !ok {
+		w.died[id] = w.now
+	}
+}
+
+// TestTimeToDetect answers upstreams that go dark or whose process ends, with and without evidence from packets.
+func TestTimeToDetect(t *testing.T) {
+	const crash = 5 * time.Second
+	tests := map[string]struct {
+		outcome     prober.Outcome
+		hint        bool
+		avoid, dead time.Duration
+	}{
+		// Of 500 ms that Callers give a request, 200 pass before the first evidence.
+		"dark, with evidence":    {prober.Silent, true, 500 * time.Millisecond, time.Second},
+		"dark, found by duty":    {prober.Silent, false, 1500 * time.Millisecond, 2 * time.Second},
+		"refused, with evidence": {prober.Refused, true, 250 * time.Millisecond, 250 * time.Millisecond},
+		"refused, found by duty": {prober.Refused, false, 1200 * time.Millisecond, 1200 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(14)
+			w.see = func(now time.Duration, id rattanwood.UpstreamID) prober.Outcome {
+				if now >= crash && id == 3 {
+					return test.outcome
+				}
+				return prober.Answered
+			}
+			w.run(crash)
+			if test.hint {
+				w.p.Hint(3)
+			}
+			w.run(crash + 5*time.Second)
+			c.Assert(w.avoided, qt.HasLen, 1)
+			c.Assert(w.avoided[3]-crash <= test.avoid, qt.IsTrue, qt.Commentf("avoided after %v", w.avoided[3]-crash))
+			c.Assert(w.died[3]-crash <= test.dead, qt.IsTrue, qt.Commentf("dead after %v", w.died[3]-crash))
+			w.see = func(time.Duration, rattanwood.UpstreamID) prober.Outcome { return prober.Answered }
+			w.run(crash + 7*time.Second)
+			c.Assert(w.p.Avoid(3), qt.IsFalse)
+		})
+	}
+}
+
+// TestNoFalseAlarm answers what makes a living upstream look silent.
+func TestNoFalseAlarm(t *testing.T) {
+	tests := map[string]func(now time.Duration, id rattanwood.UpstreamID) prober.Outcome{
+		"this node notices nothing in time": func(now time.Duration, _ rattanwood.UpstreamID) prober.Outcome {
+			if now > 3*time.Second {
+				return prober.Silent
+			}
+			return prober.Answered
+		},
+		"this node is held up": func(now time.Duration, _ rattanwood.UpstreamID) prober.Outcome {
+			if now > 3*time.Second {
+				return prober.Unclear
+			}
+			return prober.Answered
+		},
+		"each third connection is lost": func(now time.Duration, id rattanwood.UpstreamID) prober.Outcome {
+			if (int(now/step)+int(id))%3 == 0 && now%(4*step) == 0 {
+				return prober.Silent
+			}
+			return prober.Answered
+		},
+	}
+	for name, see := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(14)
+			w.see = see
+			for range 40 {
+				w.p.Hint(rattanwood.UpstreamID(1 + int(w.now/time.Second)%14))
+				w.run(w.now + 500*time.Millisecond)
+			}
+			c.Assert(w.died, qt.HasLen, 0)
+			if name != "each third connection is lost" {
+				c.Assert(w.avoided, qt.HasLen, 0)
+			}
+		})
+	}
+}
+
+// TestChecksAreBounded answers a fleet where everything fails or everybody spreads rumours.
+func TestChecksAreBounded(t *testing.T) {
+	tests := map[string]func(w *world){
+		"all refused": func(w *world) {
+			w.see = func(time.Duration, rattanwood.UpstreamID) prober.Outcome { return prober.Refused }
+		},
+		"rumours about all": func(w *world) {
+			w.duty = prober.Watched
+			for id := range w.n {
+				w.p.Rumour(rattanwood.UpstreamID(id + 1))
+				w.p.Hint(rattanwood.UpstreamID(id + 1))
+			}
+		},
+	}
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(150)
+			for range 40 {
+				prepare(w)
+				w.run(w.now + 500*time.Millisecond)
+			}
+			cfg := prober.DefaultConfig()
+			// A control goes with each round of doubtful checks.
+			most := 2 * (cfg.Burst + 20*cfg.Rate)
+			c.Assert(w.count <= most, qt.IsTrue, qt.Commentf("%d checks", w.count))
+		})
+	}
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -23,6 +23,9 @@
 	deleted int
 	// floor is the lowest revision whose later changes are all known.
 	floor rattanwood.Revision
+	// told is the revision up to which Take has returned what changed, and news what has changed since.
+	told rattanwood.Revision
+	news []rattanwood.Record
 }
 
 // New returns an empty copy.
@@ -45,7 +48,7 @@
 	if !r.whole || prior > r.at {
 		return nil, false
 	}
-	news := r.merge(c.Records)
+	news := r.merge(r.later(c.Records))
 	r.at = max(r.at, c.At)
 	return news, true
 }
@@ -54,7 +57,7 @@
 // missing were deleted, unless the copy has them from a later revision.
 func (r *Replicator) Replace(records []rattanwood.Record, at rattanwood.Revision) []rattanwood.Record {
 	if r.whole && at < r.at {
-		return r.merge(records)
+		return r.merge(r.later(records))
 	}
 	listed := make(map[string]bool, len(records))
 	for _, rec := range records {
@@ -69,9 +72,31 @@
 	byKey(gone)
 	news := r.merge(append(gone, records...))
 	r.at, r.floor, r.whole = at, at, true
+	// What came and went since the copy's last revision isn't known, so there is nothing to pass on:
+	// whoever is behind has to fetch everything.
+	r.told, r.news = at, nil
 	return news
 }
 
+// Take returns all that changed after the revision prior, up to that of the copy, and begins anew.
+func (r *Replicator) Take() (prior rattanwood.Revision, records []rattanwood.Record) {
+	prior, records = r.told, r.news
+	r.told, r.news = r.at, nil
+	return prior, records
+}
+
+// later returns the records that changed after the copy's revision. What changed before is known,
+// also where a deletion has been forgotten.
+func (r *Replicator) later(records []rattanwood.Record) []rattanwood.Record {
+	var out []rattanwood.Record
+	for _, rec := range records {
+		if rec.Revision > r.at {
+			out = append(out, rec)
+		}
+	}
+	return out
+}
+
 func (r *Replicator) merge(records []rattanwood.Record) []rattanwood.Record {
 	var news []rattanwood.Record
 	for _, rec := range records {
@@ -89,6 +114,7 @@
 		r.records[rec.Key] = rec
 		news = append(news, rec)
 	}
+	r.news = append(r.news, news...)
 	r.prune()
 	return news
 }
--- /dev/null
+++ b/replicator/replicator_test.go
@@ -0,0 +1,185 @@
+package replicator_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/replicator"
+)
+
+func put(key string, rev rattanwood.Revision) rattanwood.Record {
+	return rattanwood.Record{Key: key, Value: fmt.Appendf(nil, "%s@%d", key, rev), Revision: rev}
+}
+
+func drop(key string, rev rattanwood.Revision) rattanwood.Record {
+	return rattanwood.Record{Key: key, Revision: rev, Deleted: true}
+}
+
+type (
+	records = []rattanwood.Record
+	changes = rattanwood.Changes
+)
+
+func TestCopiesMoveForwardOnly(t *testing.T) {
+	c := qt.New(t)
+	r := replicator.New()
+	_, ok := r.Apply(0, changes{Records: records{put("a", 1)}, At: 1})
+	c.Assert(ok, qt.IsFalse, qt.Commentf("changes mean nothing without a whole copy"))
+	c.Assert(r.Replace(records{put("a", 5), put("b", 3)}, 6), qt.HasLen, 2)
+
+	_, ok = r.Apply(8, changes{At: 9})
+	c.Assert(ok, qt.IsFalse, qt.Commentf("changes 7 and 8 are missing"))
+	news, ok := r.Apply(4, changes{Records: records{put("a", 5), drop("b", 7)}, At: 7})
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(news, qt.DeepEquals, records{drop("b", 7)})
+
+	news, ok = r.Apply(6, changes{Records: records{put("b", 3)}, At: 6})
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(news, qt.HasLen, 0, qt.Commentf("an earlier value doesn't return"))
+	c.Assert(r.At(), qt.Equals, rattanwood.Revision(7))
+	c.Assert(r.Len(), qt.Equals, 1)
+}
+
+// TestListingAfterALostHistory answers the pattern of a store that forgets its history while upstreams leave.
+func TestListingAfterALostHistory(t *testing.T) {
+	tests := map[string]struct {
+		listing records
+		at      rattanwood.Revision
+		news    records
+	}{
+		"a record is gone":                    {records{put("a", 1)}, 9, records{drop("b", 9)}},
+		"an older listing removes nothing":    {records{put("a", 1)}, 2, nil},
+		"a page may be newer than the first":  {records{put("a", 1), put("b", 2), put("c", 12)}, 9, records{put("c", 12)}},
+		"nothing has changed":                 {records{put("a", 1), put("b", 2)}, 9, nil},
+		"a record that came back is replaced": {records{put("a", 8), put("b", 2)}, 9, records{put("a", 8)}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := replicator.New()
+			r.Replace(records{put("a", 1), put("b", 2)}, 3)
+			c.Assert(r.Replace(test.listing, test.at), qt.DeepEquals, test.news)
+			c.Assert(r.At(), qt.Equals, max(test.at, 3))
+		})
+	}
+}
+
+func TestManyDeletionsLeadToAWholeTransfer(t *testing.T) {
+	c := qt.New(t)
+	r := replicator.New()
+	r.Replace(records{put("stays", 1)}, 1)
+	for i := range 3000 {
+		rev := rattanwood.Revision(2 + 2*i)
+		key := fmt.Sprint("k", i)
+		_, ok := r.Apply(rev-1, changes{Records: records{put(key, rev), drop(key, rev+1)}, At: rev + 1})
+		c.Assert(ok, qt.IsTrue)
+	}
+	got, whole := r.Since(2)
+	c.Assert(whole, qt.IsTrue)
+	c.Assert(got, qt.DeepEquals, records{put("stays", 1)})
+	got, whole = r.Since(r.At() - 2)
+	c.Assert(whole, qt.IsFalse)
+	c.Assert(got, qt.HasLen, 1)
+}
+
+// TestAgainstNaive lets copies learn from a source and from each other in any order, with losses and
+// lists, and compares each with the source's own state at the revision that it claims.
+func TestAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log records
+		at := func() rattanwood.Revision { return rattanwood.Revision(len(log)) }
+		state := func(rev rattanwood.Revision) map[string]string {
+			out := map[string]string{}
+			for _, r := range log[:rev] {
+				delete(out, r.Key)
+				if !r.Deleted {
+					out[r.Key] = string(r.Value)
+				}
+			}
+			return out
+		}
+		listing := func(rev rattanwood.Revision) records {
+			var out records
+			newest := map[string]rattanwood.Record{}
+			for _, r := range log[:rev] {
+				newest[r.Key] = r
+			}
+			for _, r := range newest {
+				if !r.Deleted {
+					out = append(out, r)
+				}
+			}
+			return out
+		}
+		copies := []*replicator.Replicator{replicator.New(), replicator.New(), replicator.New()}
+		pick := rapid.IntRange(0, len(copies)-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				key := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key")
+				if rapid.Bool().Draw(t, "delete") {
+					log = append(log, drop(key, at()+1))
+					return
+				}
+				log = append(log, put(key, at()+1))
+			},
+			"watch": func(t *rapid.T) {
+				r := copies[pick.Draw(t, "copy")]
+				after := min(r.At(), rapid.Custom(func(t *rapid.T) rattanwood.Revision {
+					return rattanwood.Revision(rapid.IntRange(0, len(log)).Draw(t, "rev"))
+				}).Draw(t, "after"))
+				r.Apply(after, changes{Records: log[after:], At: at()})
+			},
+			"list": func(t *rapid.T) {
+				rev := rattanwood.Revision(rapid.IntRange(0, len(log)).Draw(t, "rev"))
+				copies[pick.Draw(t, "copy")].Replace(listing(rev), rev)
+			},
+			"fetch": func(t *rapid.T) {
+				from, to := copies[pick.Draw(t, "from")], copies[pick.Draw(t, "to")]
+				if !from.Whole() {
+					return
+				}
+				after := to.At()
+				got, whole := from.Since(after)
+				if whole || !to.Whole() {
+					if !whole {
+						return
+					}
+					to.Replace(got, from.At())
+					return
+				}
+				to.Apply(after, changes{Records: got, At: from.At()})
+			},
+			"push": func(t *rapid.T) {
+				from := copies[pick.Draw(t, "from")]
+				prior, got := from.Take()
+				for _, to := range copies {
+					if to != from && len(got) > 0 && rapid.Bool().Draw(t, "arrives") {
+						to.Apply(prior, changes{Records: got, At: from.At()})
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				for i, r := range copies {
+					if !r.Whole() {
+						continue
+					}
+					all := map[string]string{}
+					got, _ := r.Since(0)
+					for _, rec := range got {
+						if !rec.Deleted {
+							all[rec.Key] = string(rec.Value)
+						}
+					}
+					want := state(r.At())
+					if fmt.Sprint(all) != fmt.Sprint(want) {
+						t.Fatalf("copy %d at %d holds %v, want %v", i, r.At(), all, want)
+					}
+				}
+			},
+		})
+	})
+}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -1,10 +1,10 @@
 // Package watcher decides which balancers read the source, so that the calls
 // don't grow with the fleet.
 //
-// The first-ranked balancer watches the source without a break and passes on
-// what it learns, and since when it knows it to be current. Others read only once nobody has
-// confirmed their copy for a while, one rank after the other, so that a reader that is
-// dead, cut off or refused is replaced without being told.
+// Whoever finds that nobody has confirmed the records for a while begins to read, one rank
+// after the other, and goes on until it hears a fresh confirmation of a reader with a
+// higher score. A reader that is dead, cut off or refused is thereby replaced without being
+// told, and of several only one stays.
 package watcher
 
 import (
@@ -12,46 +12,87 @@
 	"time"
 )
 
+// Reader is a number by which one of two readers yields to the other. It stands for one
+// life of a balancer.
+type Reader uint64
+
+// Confirmation says that a reader found the records current.
+type Confirmation struct {
+	Reader Reader
+	// Seq counts a reader's confirmations.
+	Seq uint64
+	// At is the time of this balancer's clock at which the records were current.
+	At time.Duration
+}
+
 // Config builds a Watcher.
 type Config struct {
-	// Patience is the age of a copy's last confirmation at which the second rank begins to read.
+	Self Reader
+	// Patience is the age of the last confirmation at which the first rank begins to read.
 	Patience time.Duration
 	// Stagger is the further patience of each rank, up to StaggerMost.
 	Stagger, StaggerMost time.Duration
+	// Yield is the age up to which the confirmation of a higher score ends the own reading.
+	Yield time.Duration
 	// BackOffLeast and BackOffMost bound the pause after a failed read.
 	BackOffLeast, BackOffMost time.Duration
-	// BlindTime is how long a balancer whose read failed leaves the reading to others.
-	BlindTime time.Duration
-	Random    *rand.Rand
+	Random                    *rand.Rand
 }
 
 // Watcher is the state of one balancer's reading. It isn't safe for concurrent use.
 type Watcher struct {
-	cfg       Config
-	confirmed time.Duration
-	ever      bool
-	fails     int
-	failed    time.Duration
-	pause     time.Duration
+	cfg    Config
+	newest Confirmation
+	// seen are the last confirmations of each reader, since one that returns by way of others
+	// would look younger with every hop.
+	seen   map[Reader]uint64
+	ever   bool
+	active bool
+	fails  int
+	failed time.Duration
+	pause  time.Duration
+}
+
+// New returns a watcher that begins to read at once, as its records were never confirmed.
+func New(cfg Config) *Watcher {
+	return &Watcher{cfg: cfg, active: true, seen: map[Reader]uint64{}}
 }
 
-// New returns a watcher whose copy was never confirmed.
-func New(cfg Config) *Watcher { return &Watcher{cfg: cfg} }
+// Read records that this balancer found the records current at a time.
+func (w *Watcher) Read(now, at time.Duration) {
+	w.fails, w.active = 0, true
+	w.Confirm(now, Confirmation{Reader: w.cfg.Self, Seq: w.seen[w.cfg.Self] + 1, At: at})
+}
 
-// Confirm records that the copy was current at a time.
-func (w *Watcher) Confirm(at time.Duration) {
-	if !w.ever || at > w.confirmed {
-		w.confirmed, w.ever = at, true
+// Confirm takes in a confirmation and reports whether it is news.
+func (w *Watcher) Confirm(now time.Duration, c Confirmation) bool {
+	if w.seen[c.Reader] >= c.Seq {
+		return false
+	}
+	w.seen[c.Reader] = c.Seq
+	if c.Reader > w.cfg.Self && now-c.At <= w.cfg.Yield {
+		w.active = false
 	}
+	if w.ever && c.At <= w.newest.At {
+		return false
+	}
+	w.newest, w.ever = c, true
+	return true
 }
 
-// Age returns the time since the copy was known to be current; ok is false if it never was.
+// Newest returns the newest confirmation; ok is false if there never was one.
+func (w *Watcher) Newest() (c Confirmation, ok bool) { return w.newest, w.ever }
+
+// Age returns the time since the records were known to be current; ok is false if they never were.
 func (w *Watcher) Age(now time.Duration) (age time.Duration, ok bool) {
-	return max(now-w.confirmed, 0), w.ever
+	return max(now-w.newest.At, 0), w.ever
 }
 
-// Succeeded records that the source answered.
-func (w *Watcher) Succeeded() { w.fails = 0 }
+// Active reports whether this balancer reads without waiting for the confirmation to age.
+func (w *Watcher) Active() bool { return w.active }
+
+// Blind reports whether this balancer's last read failed.
+func (w *Watcher) Blind() bool { return w.fails > 0 }
 
 // Failed records that the source did not answer.
 func (w *Watcher) Failed(now time.Duration) {
@@ -59,24 +100,17 @@
 	w.pause = full/2 + time.Duration(w.cfg.Random.Int64N(int64(full/2)+1))
 	w.fails++
 	w.failed = now
+	w.active = false
 }
 
-// Blind reports whether this balancer's last read failed not long ago.
-func (w *Watcher) Blind(now time.Duration) bool {
-	return w.fails > 0 && now-w.failed < w.cfg.BlindTime
-}
-
-// Due reports whether this balancer should read now. Rank counts the balancers
-// that can read and come before it.
+// Due reports whether this balancer should read now. Rank counts the balancers that
+// come before it.
 func (w *Watcher) Due(now time.Duration, rank int) bool {
 	if w.fails > 0 && now-w.failed < w.pause {
 		return false
 	}
 	age, ok := w.Age(now)
-	if !ok {
-		return true
-	}
-	if rank == 0 && !w.Blind(now) {
+	if w.active || !ok {
 		return true
 	}
 	return age >= w.cfg.Patience+min(time.Duration(rank)*w.cfg.Stagger, w.cfg.StaggerMost)
