Test the tag affinity by itself, and end a mesh that fed on itself

Change: a roster digest by name, heartbeats by courtesy that are not answered, strangers each third round; the first read of a process doesn't make it a reader. Latency histograms.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -242,6 +242,8 @@
 		Leaving: k.Leaving,
 		Blind:   k.Blind,
 		Base:    uint64(k.Base),
+
+		Courtesy: d.cfg.Sparse && !m.chosen,
 	}
 	if m.seq != 0 {
 		b.Echo = m.seq
@@ -287,6 +289,9 @@
 	m.heard = now
 	m.received = now
 	m.seq = b.Seq
+	if !b.Courtesy {
+		m.wanted = now
+	}
 	if m.State != Alive || m.Leaving != b.Leaving {
 		m.State = Alive
 		m.Leaving = b.Leaving
--- a/detector/roster.go
+++ b/detector/roster.go
@@ -26,8 +26,11 @@
 	// Seed is the member's in every ranking.
 	Seed uint64
 
-	// distant members are not neighbours; only a sparse detector has them.
-	distant   bool
+	// chosen members are this one's neighbours, and distant ones get no heartbeats; only a
+	// sparse detector has either.
+	chosen, distant bool
+	// wanted is when the member last beat this one as its neighbour.
+	wanted    time.Duration
 	heard     time.Duration
 	vouched   time.Duration
 	contacted time.Duration
@@ -46,6 +49,7 @@
 	m, known := d.rows[vm]
 	if !known {
 		m = &Member{VM: vm, DataCentre: centre, Seed: ranker.Seed(string(vm))}
+		d.stale = true
 		d.rows[vm] = m
 		d.order = append(d.order, m)
 		slices.SortFunc(d.order, func(a, b *Member) int { return strings.Compare(string(a.VM), string(b.VM)) })
@@ -53,8 +57,9 @@
 	if m.State != Alive {
 		m.Address = address
 	}
-	if centre != "" {
+	if centre != "" && m.DataCentre != centre {
 		m.DataCentre = centre
+		d.stale = true
 	}
 }
 
@@ -99,16 +104,34 @@
 	if !d.stale {
 		return d.roster
 	}
-	sum := ranker.Score(ranker.Seed(string(d.cfg.Self)), uint64(d.cfg.Life))
+	sum := d.digestOf(ranker.Seed(string(d.cfg.Self)), d.cfg.Life)
 	for _, m := range d.order {
-		if m.State == Alive && !d.cfg.Sparse {
-			sum ^= ranker.Score(m.Seed, uint64(m.Life))
+		if d.enrolled(m) {
+			sum ^= d.digestOf(m.Seed, m.Life)
 		}
 	}
 	d.roster, d.stale = sum, false
 	return sum
 }
 
+// digestOf is a member's part of the digest.
+func (d *Detector) digestOf(seed uint64, life rattanwood.Incarnation) uint64 {
+	if d.cfg.Sparse {
+		// Who isn't a neighbour doesn't learn of a new life.
+		life = 0
+	}
+	return ranker.Score(seed, uint64(life))
+}
+
+// enrolled reports whether the roster names a member. That of a sparse detector names the dead as well, because
+// only their neighbours know, and rosters must become equal.
+func (d *Detector) enrolled(m *Member) bool {
+	if d.cfg.Sparse {
+		return m.DataCentre != ""
+	}
+	return m.State == Alive
+}
+
 // Roster builds the message that names all members, this one included.
 func (d *Detector) Roster() *wire.Roster {
 	r := &wire.Roster{Members: []*wire.Member{{
@@ -116,7 +139,7 @@
 		Address: d.cfg.Address.String(), Centre: string(d.cfg.DataCentre),
 	}}}
 	for _, m := range d.order {
-		if m.State == Alive || d.cfg.Sparse && m.State == Listed && m.DataCentre != "" {
+		if d.enrolled(m) {
 			r.Members = append(r.Members, &wire.Member{
 				Vm: string(m.VM), Life: uint64(m.Life),
 				Address: m.Address.String(), Centre: string(m.DataCentre),
--- a/detector/sparse.go
+++ b/detector/sparse.go
@@ -17,11 +17,12 @@
 	fleetBase  = 4
 )
 
-// choose marks the members that are not neighbours as distant.
+// choose finds the neighbours. Members that are not, but beat this one as theirs, are answered.
 func (d *Detector) choose(now time.Duration) {
 	var centre, fleet []*Member
 	for _, m := range d.order {
-		m.distant = m.State == Dead || now-m.heard > d.cfg.Suspect || m.heard == 0
+		m.chosen = false
+		m.distant = m.State == Dead || m.wanted == 0 || now-m.wanted > d.cfg.Suspect
 		if m.State == Dead || m.DataCentre == "" {
 			continue
 		}
@@ -49,7 +50,7 @@
 
 // adopt makes a member a neighbour. One that was never heard must answer like any other.
 func (d *Detector) adopt(now time.Duration, m *Member) {
-	m.distant = false
+	m.chosen, m.distant = true, false
 	if m.State == Listed {
 		m.State = Suspect
 		m.heard = now
@@ -57,18 +58,21 @@
 	}
 }
 
-// stranger returns a member that is not a neighbour: one at random, so that parts of the
-// fleet which were cut off and declared dead find each other again, or seeds without a name.
+// strangerRounds is the number of rounds of heartbeats between two to a stranger.
+const strangerRounds = 3
+
+// stranger returns members that are not neighbours: now and then one at random, so that parts of
+// the fleet which were cut off and declared dead find each other again. Members without a data centre
+// are seeds that stand for others; they are asked only while nobody else is there.
 func (d *Detector) stranger(now time.Duration) []*Member {
 	var distant []*Member
-	company := false
+	company := slices.ContainsFunc(d.order, func(m *Member) bool { return m.State == Alive })
 	for _, m := range d.order {
-		company = company || m.State == Alive
-		if m.distant {
+		if m.distant && !(company && m.DataCentre == "") {
 			distant = append(distant, m)
 		}
 	}
-	if len(distant) == 0 {
+	if len(distant) == 0 || company && d.seq%strangerRounds != 0 {
 		return nil
 	}
 	if company {
@@ -76,6 +80,7 @@
 	}
 	for _, m := range distant {
 		m.contacted = now
+		m.chosen = !company
 	}
 	return distant
 }
--- a/internal/node/checks.go
+++ b/internal/node/checks.go
@@ -37,7 +37,9 @@
 	outcome := prober.Unclear
 	if ok {
 		n.counters.checks.Add(1)
+		dialled := time.Now()
 		outcome = dial(ctx, r.Address.String())
+		n.timings.check.Observe(time.Since(dialled).Seconds())
 	}
 	n.mu.Lock()
 	now := n.now()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -29,10 +30,28 @@
 	descLost     = prometheus.NewDesc("rattanwood_log_lines_dropped_total", "Log lines that found no room.", nil, nil)
 )
 
+// timings are the latency histograms.
+type timings struct {
+	decision, source, check prometheus.Histogram
+}
+
+func newTimings() timings {
+	histogram := func(name, help string, least time.Duration) prometheus.Histogram {
+		return prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(least.Seconds(), 4, 8),
+		})
+	}
+	return timings{
+		decision: histogram("rattanwood_decision_seconds", "Time from a packet's arrival to its sending.", time.Microsecond),
+		source:   histogram("rattanwood_source_seconds", "Time of calls of the source beyond the wait asked for.", time.Millisecond),
+		check:    histogram("rattanwood_check_seconds", "Time of checks of upstreams.", 100*time.Microsecond),
+	}
+}
+
 // registry returns the registry that shows this balancer's metrics.
 func (n *Node) registry() *prometheus.Registry {
 	r := prometheus.NewRegistry()
-	r.MustRegister(&collector{node: n})
+	r.MustRegister(&collector{node: n}, n.timings.decision, n.timings.source, n.timings.check)
 	return r
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,7 @@
 	packets  atomic.Int64
 	whole    chan struct{}
 	counters counters
+	timings  timings
 
 	running sync.WaitGroup
 	tunnel  *net.UDPConn
@@ -93,6 +94,7 @@
 		peers:   dialer.New(),
 		copy:    replicator.New(),
 		refused: map[string]uint64{},
+		timings: newTimings(),
 		whole:   make(chan struct{}),
 	}
 	random := rand.New(rand.NewPCG(uint64(cfg.Life), 0))
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,420 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/internal/logger"
+	"example.org/rattanwood/internal/node"
+	"example.org/rattanwood/internal/settings"
+	"example.org/rattanwood/platform"
+)
+
+// patience bounds every wait of the tests.
+const patience = 20 * time.Second
+
+// source is a Source whose records the test writes. Watches poll, so that it stays small.
+type source struct {
+	mu    sync.Mutex
+	log   []rattanwood.Record
+	down  bool
+	lost  bool
+	calls int
+}
+
+func (s *source) write(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log = append(s.log, rattanwood.Record{Key: key, Value: []byte(value), Revision: rattanwood.Revision(len(s.log) + 1), Deleted: value == ""})
+}
+
+func (s *source) set(down, lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.lost = down, lost
+}
+
+func (s *source) call() error {
+	s.calls++
+	if s.down {
+		return &rattanwood.SourceError{Call: "test", Reason: "down", Cause: io.EOF}
+	}
+	return nil
+}
+
+// List returns two records a page.
+func (s *source) List(_ context.Context, after string) (rattanwood.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.call(); err != nil {
+		return rattanwood.Page{}, err
+	}
+	newest := map[string]rattanwood.Record{}
+	for _, r := range s.log {
+		newest[r.Key] = r
+	}
+	p := rattanwood.Page{At: rattanwood.Revision(len(s.log))}
+	for _, r := range newest {
+		if !r.Deleted && r.Key > after {
+			p.Records = append(p.Records, r)
+		}
+	}
+	slices.SortFunc(p.Records, func(a, b rattanwood.Record) int { return bytes.Compare([]byte(a.Key), []byte(b.Key)) })
+	if len(p.Records) > 2 {
+		p.Records, p.More = p.Records[:2], true
+	}
+	return p, nil
+}
+
+func (s *source) Watch(ctx context.Context, after rattanwood.Revision, wait time.Duration) (rattanwood.Changes, error) {
+	for end := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
+		s.mu.Lock()
+		err := s.call()
+		log, lost := s.log, s.lost
+		s.mu.Unlock()
+		switch {
+		case err != nil:
+			return rattanwood.Changes{}, err
+		case lost && int(after) < len(log):
+			return rattanwood.Changes{}, &rattanwood.LostHistoryError{After: after}
+		case int(after) < len(log) || time.Now().After(end) || ctx.Err() != nil:
+			return rattanwood.Changes{Records: log[after:], At: rattanwood.Revision(len(log))}, nil
+		}
+	}
+}
+
+// upstream is a UDP and TCP listener at one address.
+type upstream struct {
+	key, address string
+	packets      chan []byte
+	tcp          net.Listener
+}
+
+func newUpstream(c *qt.C, ip string, id int) *upstream {
+	lis, err := net.Listen("tcp4", ip+":0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = lis.Close() })
+	u := &upstream{key: fmt.Sprintf("servers/i-%010x", id), address: lis.Addr().String(), packets: make(chan []byte, 100), tcp: lis}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(u.address)))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	go receive(conn, u.packets)
+	return u
+}
+
+// receive passes on datagrams until the socket is closed.
+func receive(conn *net.UDPConn, to chan<- []byte) {
+	buf := make([]byte, 2000)
+	for {
+		n, _, err := conn.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		to <- bytes.Clone(buf[:n])
+	}
+}
+
+func (u *upstream) record(state string) string {
+	return fmt.Sprintf(`{"service":"s","address":%q,"zone":"east","version":"v","slots":2,"state":%q,"warmup_remaining_ms":0,"sequence":1,"born":1}`, u.address, state)
+}
+
+const routes = `{"version":%d,"routes":[{"name":"r","hostname":"198.18.0.1","prefix":"/443/","service":"s"}]}`
+
+// fleet is three nodes before two upstreams.
+type fleet struct {
+	c         *qt.C
+	src       *source
+	ports     settings.Ports
+	stops     []context.CancelFunc
+	ended     []chan error
+	files     []string
+	logs      []*lockedBuffer
+	upstreams []*upstream
+	caller    *net.UDPConn
+	// resets are the packets that come to the Caller.
+	resets chan []byte
+}
+
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) contains(text string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bytes.Contains(b.buf.Bytes(), []byte(text))
+}
+
+func ip(i int) string { return fmt.Sprintf("127.0.22.%d", i+1) }
+
+// callerIP is where the Caller of the tests takes resets.
+const callerIP = "127.0.22.100"
+
+func newFleet(c *qt.C) *fleet {
+	f := &fleet{c: c, src: &source{}, ports: settings.Ports{Peer: freePort(c), Tunnel: freePort(c), Web: freePort(c)}}
+	for i := range 2 {
+		u := newUpstream(c, "127.0.22.50", 0xab00000001+i)
+		f.upstreams = append(f.upstreams, u)
+		f.src.write(u.key, u.record("ready"))
+	}
+	f.src.write("op/config", fmt.Sprintf(routes, 1))
+	f.src.write("op/other", "?")
+	var err error
+	f.caller, err = net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(callerIP), Port: f.ports.Tunnel})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = f.caller.Close() })
+	f.resets = make(chan []byte, 100)
+	go receive(f.caller, f.resets)
+	for i := range 3 {
+		f.start(i)
+	}
+	for i := range 3 {
+		f.eventually("ready", func() bool { return f.get(i, "/ready", nil) == http.StatusOK })
+	}
+	return f
+}
+
+func freePort(c *qt.C) int {
+	lis, err := net.Listen("tcp4", "127.0.22.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = lis.Close() }()
+	return int(netip.MustParseAddrPort(lis.Addr().String()).Port())
+}
+
+func (f *fleet) settings(i int) string {
+	return fmt.Sprintf(`{"vm": "vm-%d", "centre": "east", "address": %q, "platform": "127.0.0.1:1", "affinity": "tag",
+		"seeds": [%q], "ports": {"peer": %d, "tunnel": %d, "web": %d}, "times": {"apply": 900, "grace": 6}}`,
+		i, ip(i), ip(0)+":1", f.ports.Peer, f.ports.Tunnel, f.ports.Web)
+}
+
+func (f *fleet) start(i int) {
+	file := filepath.Join(f.c.TempDir(), "settings.json")
+	f.c.Assert(os.WriteFile(file, []byte(f.settings(i)), 0o600), qt.IsNil)
+	set, err := settings.Load(file)
+	f.c.Assert(err, qt.IsNil)
+	logs := &lockedBuffer{}
+	log, err := logger.New(logs, "debug", set.VM)
+	f.c.Assert(err, qt.IsNil)
+	n, err := node.New(node.Config{
+		Settings: set, File: file, Life: rattanwood.Incarnation(time.Now().UnixNano()), Log: log,
+		Source: f.src, Interpreter: platform.Interpreter{}, Codec: platform.Codec{Port: uint16(f.ports.Tunnel)},
+	})
+	f.c.Assert(err, qt.IsNil)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	f.c.Cleanup(stop)
+	f.stops, f.ended, f.files, f.logs = append(f.stops, stop), append(f.ended, ended), append(f.files, file), append(f.logs, logs)
+}
+
+func (f *fleet) get(i int, path string, into any) int {
+	res, err := http.Get(fmt.Sprintf("http://%s:%d%s", ip(i), f.ports.Web, path))
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = res.Body.Close() }()
+	if into != nil {
+		f.c.Assert(json.NewDecoder(res.Body).Decode(into), qt.IsNil)
+	}
+	return res.StatusCode
+}
+
+func (f *fleet) state(i int) (s node.State) {
+	f.get(i, "/state", &s)
+	return s
+}
+
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.c.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.c.Fatalf("not within %v: %s", patience, what)
+}
+
+// packet builds a packet of a Caller's flow.
+func packet(port uint16, address string, flags byte, tag uint32, seq uint32) []byte {
+	caller := netip.AddrPortFrom(netip.MustParseAddr(callerIP), port)
+	p := platform.Codec{}.Reset(nil, rattanwood.Segment{Caller: netip.MustParseAddrPort(address), Target: caller})
+	p[26] = flags
+	p = platform.Codec{}.Forward(nil, p, rattanwood.Instance(tag))[8:]
+	p[5] = byte(seq)
+	return p
+}
+
+const (
+	flagOpen = 2
+	flagAck  = 128
+)
+
+func (f *fleet) send(i int, p []byte) {
+	_, err := f.caller.WriteToUDP(p, &net.UDPAddr{IP: net.ParseIP(ip(i)), Port: f.ports.Tunnel})
+	f.c.Assert(err, qt.IsNil)
+}
+
+// arrives returns the upstream that a packet reaches, or -1 if a reset comes back instead.
+func (f *fleet) arrives() int {
+	f.c.Helper()
+	select {
+	case <-f.upstreams[0].packets:
+		return 0
+	case <-f.upstreams[1].packets:
+		return 1
+	case p := <-f.resets:
+		f.c.Assert(p, qt.HasLen, 34)
+		f.c.Assert(p[26], qt.Equals, byte(1))
+		return -1
+	case <-time.After(patience):
+		f.c.Fatal("no packet arrives anywhere")
+		return 0
+	}
+}
+
+func tag(i int) uint32 { return uint32(1 + i) }
+
+// TestNode plays one fleet through planned changes and faults of the source.
+func TestNode(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c)
+
+	for port := uint16(1); port < 20; port++ {
+		f.send(int(port)%3, packet(port, "198.18.0.1:443", flagOpen, 0, 1))
+		at := f.arrives()
+		f.send(int(port+1)%3, packet(port, "198.18.0.1:443", flagAck, tag(at), 2))
+		c.Assert(f.arrives(), qt.Equals, at, qt.Commentf("another node forwards to the same upstream"))
+	}
+	f.send(0, packet(1, "198.18.0.9:443", flagOpen, 0, 1))
+	c.Assert(f.arrives(), qt.Equals, -1, qt.Commentf("an unbound address is refused at once"))
+
+	c.Log("bad input breaks nothing")
+	f.send(0, []byte("short"))
+	_, err := f.caller.WriteToUDP([]byte("\xff\xff"), &net.UDPAddr{IP: net.ParseIP(ip(0)), Port: f.ports.Peer})
+	c.Assert(err, qt.IsNil)
+	f.src.write("servers/i-00000000ff", "{")
+
+	c.Log("a draining upstream gets no new flows on any node, and keeps its old ones")
+	f.src.write(f.upstreams[0].key, f.upstreams[0].record("draining"))
+	for i := range 3 {
+		f.eventually("drain known", func() bool { return f.state(i).Revision == 6 })
+		for port := uint16(100); port < 110; port++ {
+			f.send(i, packet(port, "198.18.0.1:443", flagOpen, 0, 1))
+			c.Assert(f.arrives(), qt.Equals, 1)
+		}
+		f.send(i, packet(1, "198.18.0.1:443", flagAck, tag(0), 3))
+		c.Assert(f.arrives(), qt.Equals, 0)
+	}
+
+	c.Log("one node reads, and the history that it lost is listed again")
+	f.eventually("one reader", func() bool {
+		return btoi(f.state(0).Reading)+btoi(f.state(1).Reading)+btoi(f.state(2).Reading) == 1
+	})
+	f.src.set(false, true)
+	f.src.write("op/config", fmt.Sprintf(routes, 4))
+	f.src.write(f.upstreams[0].key, "")
+	f.eventually("new version on all", func() bool {
+		return f.state(0).Version == 4 && f.state(1).Version == 4 && f.state(2).Version == 4
+	})
+
+	c.Log("without the source everybody serves on, and catches up afterwards")
+	f.src.set(true, false)
+	f.eventually("knowledge grows old", func() bool { return f.state(1).Age > 1500 })
+	f.send(1, packet(1, "198.18.0.1:443", flagAck, tag(1), 3))
+	c.Assert(f.arrives(), qt.Equals, 1)
+	f.src.write("op/config", fmt.Sprintf(routes, 5))
+	f.src.set(false, false)
+	f.eventually("new version on all", func() bool {
+		return f.state(0).Version == 5 && f.state(1).Version == 5 && f.state(2).Version == 5
+	})
+
+	c.Log("a node whose upstream ends tells the Callers of its flows")
+	f.send(2, packet(7, "198.18.0.1:443", flagAck, tag(1), 5))
+	c.Assert(f.arrives(), qt.Equals, 1)
+	c.Assert(f.upstreams[1].tcp.Close(), qt.IsNil)
+	f.eventually("checked", func() bool {
+		rows := f.state(2).Upstreams
+		return rows[len(rows)-1].Dead
+	})
+	f.send(2, packet(8, "198.18.0.1:443", flagAck, tag(1), 5))
+	c.Assert(f.arrives(), qt.Equals, -1)
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func TestReload(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c)
+	c.Assert(os.WriteFile(f.files[0], []byte("{"), 0o600), qt.IsNil)
+	c.Assert(syscall.Kill(syscall.Getpid(), syscall.SIGHUP), qt.IsNil)
+	f.eventually("refused", func() bool { return f.logs[0].contains("settings refused") })
+	c.Assert(os.WriteFile(f.files[0], []byte(f.settings(0)+"\n"), 0o600), qt.IsNil)
+	c.Assert(syscall.Kill(syscall.Getpid(), syscall.SIGHUP), qt.IsNil)
+	f.eventually("reloaded", func() bool { return f.logs[0].contains("settings reloaded") })
+	c.Assert(f.get(0, "/ready", nil), qt.Equals, http.StatusOK)
+}
+
+// TestGracefulStop checks that a node leaves the rotation first and forwards what still comes.
+func TestGracefulStop(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c)
+	f.stops[0]()
+	f.eventually("out of rotation", func() bool { return f.get(0, "/ready", nil) == http.StatusServiceUnavailable })
+	begin := time.Now()
+	for range 10 {
+		f.send(0, packet(1, "198.18.0.1:443", flagAck, tag(1), 2))
+		c.Assert(f.arrives(), qt.Equals, 1)
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.Assert(<-f.ended[0], qt.IsNil)
+	c.Assert(time.Since(begin) < 6*time.Second, qt.IsTrue, qt.Commentf("within the grace period"))
+	c.Assert(f.logs[0].contains(`"message":"stopped"`), qt.IsTrue)
+}
+
+func TestMetricsAndHealth(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c)
+	res, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", ip(0), f.ports.Web))
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	c.Assert(err, qt.IsNil)
+	for _, name := range []string{"rattanwood_packets_total", "rattanwood_source_calls_total", "rattanwood_checks_total", "rattanwood_source_age_seconds", "rattanwood_decision_seconds"} {
+		c.Assert(bytes.Contains(text, []byte(name)), qt.IsTrue, qt.Commentf(name))
+	}
+	var health struct {
+		State   string `json:"state"`
+		Version int    `json:"version"`
+	}
+	f.get(0, "/health", &health)
+	c.Assert(health.State, qt.Equals, "serving")
+	c.Assert(health.Version, qt.Equals, 1)
+}
--- a/internal/node/packets.go
+++ b/internal/node/packets.go
@@ -31,8 +31,10 @@
 		if err != nil {
 			return closed(ctx, err)
 		}
+		began := time.Now()
 		n.packets.Add(1)
 		out = n.packet(out[:0], in[:size])
+		n.timings.decision.Observe(time.Since(began).Seconds())
 	}
 }
 
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -74,7 +74,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callSlack)
 	defer cancel()
 	n.counters.calls.Add(1)
-	return n.cfg.Source.List(ctx, after)
+	began := time.Now()
+	p, err := n.cfg.Source.List(ctx, after)
+	n.timings.source.Observe(time.Since(began).Seconds())
+	return p, err
 }
 
 // readChanges watches for changes once.
@@ -92,6 +95,7 @@
 	defer cancel()
 	n.counters.calls.Add(1)
 	changes, err := n.cfg.Source.Watch(call, prior, wait)
+	n.timings.source.Observe(max(n.now()-began-wait, 0).Seconds())
 	var lost *rattanwood.LostHistoryError
 	if errors.As(err, &lost) {
 		n.log.Warn("history lost, listing again", zap.Uint64(logger.KeyRevision, uint64(prior)))
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -53,14 +53,15 @@
 	pause  time.Duration
 }
 
-// New returns a watcher that begins to read at once, as its records were never confirmed.
+// New returns a watcher that reads at once, as its records were never confirmed.
 func New(cfg Config) *Watcher {
-	return &Watcher{cfg: cfg, active: true, seen: map[Reader]uint64{}}
+	return &Watcher{cfg: cfg, seen: map[Reader]uint64{}}
 }
 
-// Read records that this balancer found the records current at a time.
+// Read records that this balancer found the records current at a time. From the second time on it
+// goes on reading; the first may be that of a whole fleet that has just begun.
 func (w *Watcher) Read(now, at time.Duration) {
-	w.fails, w.active = 0, true
+	w.fails, w.active = 0, w.ever
 	w.Confirm(now, Confirmation{Reader: w.cfg.Self, Seq: w.seen[w.cfg.Self] + 1, At: at})
 }
 
