Prove upstreams dead within a second, and tell all their Callers

Change: checks of 80 ms that follow one another at once, proof by silence only with repeated packets as evidence (shared within a data centre), resets for idle flows as well.

--- a/detector/sparse.go
+++ b/detector/sparse.go
@@ -68,7 +68,7 @@
 	var distant []*Member
 	company := slices.ContainsFunc(d.order, func(m *Member) bool { return m.State == Alive })
 	for _, m := range d.order {
-		if m.distant && !(company && m.DataCentre == "") {
+		if m.distant && (!company || m.DataCentre != "") {
 			distant = append(distant, m)
 		}
 	}
--- a/internal/node/checks.go
+++ b/internal/node/checks.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	// checkDeadline bounds the wait for an upstream to accept a connection. A living host answers
-	// in a round trip of a few milliseconds, whatever its load.
-	checkDeadline = 150 * time.Millisecond
+	// checkDeadline bounds the wait for an upstream to accept a connection: many times the round trip of a few
+	// milliseconds in which a living host answers, whatever its load, and short enough for
+	// two checks within the 200 ms after which Callers repeat a packet.
+	checkDeadline = 80 * time.Millisecond
 	// stallMost is the delay of a tick beyond which checks under way prove nothing.
 	stallMost = 50 * time.Millisecond
 )
@@ -53,11 +54,14 @@
 		n.talk.Members.Hurry()
 	}
 	if v.Dead {
+		n.talk.Members.Hurry()
 		emissions = append(emissions, n.flows.Ends(id)...)
 	}
 	age, _ := n.watch.Age(now)
 	revision := n.copy.At()
+	due := n.checks.Due(now, n.duty)
 	n.mu.Unlock()
+	n.startChecks(ctx, now, due)
 	if v != (prober.Verdict{}) {
 		n.log.Info("upstream checked", zap.Stringer(logger.KeyUpstream, id), zap.Stringer(logger.KeyOutcome, outcome),
 			zap.Bool("avoid", v.Avoid), zap.Bool("dead", v.Dead), zap.Bool("well", v.Well), zap.Int64(logger.KeyAge, (now-began).Milliseconds()))
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -96,7 +96,8 @@
 		gauge(descAge, age.Seconds())
 	}
 	gauge(descVersion, float64(n.flows.Version()))
-	gauge(descFailing, float64(len(n.checks.Failing())))
+	failing, _ := n.checks.Failing()
+	gauge(descFailing, float64(len(failing)))
 	states := map[string]int{}
 	for _, m := range n.talk.Members.Members() {
 		states[m.State.String()]++
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/samber/oops"
@@ -29,8 +30,9 @@
 	c, ok := n.watch.Newest()
 	k := messenger.Knowledge{
 		Revision: n.copy.At(), Age: now - c.At, Confirmed: ok, Reader: c.Reader, Seq: c.Seq,
-		Leaving: n.leaving.Load(), Blind: n.watch.Blind(), Failing: n.checks.Failing(),
+		Leaving: n.leaving.Load(), Blind: n.watch.Blind(),
 	}
+	k.Failing, k.Dead = n.checks.Failing()
 	k.Prior, k.Records = n.copy.Take()
 	for _, id := range n.flows.Registered() {
 		if work := n.loads.Own(now, id); work > 0 {
@@ -90,10 +92,9 @@
 	for _, l := range news.Loads {
 		n.loads.Merge(now, news.From, l.Upstream, l.Work)
 	}
+	near := string(news.DataCentre) == n.cfg.Settings.Centre
 	for _, id := range news.Failing {
-		if !n.checks.Avoid(id) {
-			n.checks.Rumour(id)
-		}
+		n.checks.Rumour(id, near && slices.Contains(news.Dead, id))
 	}
 }
 
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -49,7 +49,7 @@
 		m.rostered = now
 		m.send(now, limiter.State, sender, &wire.Envelope{Body: &wire.Envelope_Pull{Pull: &wire.Pull{Roster: true}}})
 	}
-	news := News{From: sender.VM}
+	news := News{From: sender.VM, DataCentre: sender.DataCentre}
 	news.Prior, news.Records = rattanwood.Revision(beat.GetPrior()), DecodeRecords(beat.GetRecords())
 	news.Revision, news.Leaving, news.Blind = rattanwood.Revision(beat.GetVersion()), beat.GetLeaving(), beat.GetBlind()
 	news.Age, news.Confirmed = DecodeAge(beat.GetConfirmed())
@@ -57,9 +57,7 @@
 	for _, l := range beat.GetLoads() {
 		news.Loads = append(news.Loads, Load{Upstream: rattanwood.UpstreamID(l.GetUpstream()), Work: float64(l.GetWork()) / hundredths})
 	}
-	for _, id := range beat.GetFailing() {
-		news.Failing = append(news.Failing, rattanwood.UpstreamID(id))
-	}
+	news.Failing, news.Dead = decodeUpstreams(beat.GetFailing()), decodeUpstreams(beat.GetDead())
 	return news, true
 }
 
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -81,7 +81,8 @@
 	// upstream: two, because one connection can be lost.
 	failsToAvoid = 2
 	// silencesToDie is the number of silent checks in a row that prove an upstream unreachable
-	// from here; a refusal needs only failsToAvoid, since a host sent it.
+	// from here, if its Callers repeat packets as well; a refusal needs only failsToAvoid, since
+	// a host sent it.
 	silencesToDie = 4
 )
 
@@ -91,6 +92,10 @@
 	running bool
 	hinted  bool
 	rumour  bool
+	// evidence is set while packets to the upstream are repeated and no check has been answered since.
+	evidence bool
+	// buried is set once the verdict that the upstream is dead has been returned.
+	buried  bool
 	checked time.Duration
 	// answered is when the last check that was answered began.
 	answered time.Duration
@@ -121,7 +126,7 @@
 		p.rows[id] = &row{checked: now}
 		return
 	}
-	r.fails, r.refused = 0, 0
+	r.fails, r.refused, r.evidence, r.buried = 0, 0, false, false
 }
 
 // Remove ends the watch of an upstream.
@@ -130,14 +135,15 @@
 // Hint asks for a check, because something was seen that a dead upstream would explain.
 func (p *Prober) Hint(id rattanwood.UpstreamID) {
 	if r := p.rows[id]; r != nil {
-		r.hinted = true
+		r.hinted, r.evidence = true, true
 	}
 }
 
-// Rumour asks for a check, because a peer says that the upstream fails its checks.
-func (p *Prober) Rumour(id rattanwood.UpstreamID) {
-	if r := p.rows[id]; r != nil {
-		r.rumour = true
+// Rumour asks for a check, because a peer says that the upstream fails its checks. Evidence is set
+// if packets to it are repeated at a peer whose packets take the same ways as those of this balancer.
+func (p *Prober) Rumour(id rattanwood.UpstreamID, evidence bool) {
+	if r := p.rows[id]; r != nil && (!r.avoid() || evidence && !r.evidence) {
+		r.rumour, r.evidence = true, r.evidence || evidence
 	}
 }
 
@@ -223,13 +229,14 @@
 	}
 	r.running = false
 	if o == Silent && (p.control == 0 || p.control < began) {
+		// Once more, with a control of its own.
 		r.hinted = true
 		return Verdict{}
 	}
-	avoided, dead := r.avoid(), r.dead()
+	avoided := r.avoid()
 	switch o {
 	case Answered:
-		r.fails, r.refused, r.answered = 0, 0, max(began, 1)
+		r.fails, r.refused, r.evidence, r.buried, r.answered = 0, 0, false, false, max(began, 1)
 	case Refused:
 		r.fails++
 		r.refused++
@@ -238,12 +245,14 @@
 		r.refused = 0
 	case Unclear:
 	}
-	return Verdict{Avoid: !avoided && r.avoid(), Dead: !dead && r.dead(), Well: avoided && !r.avoid()}
+	v := Verdict{Avoid: !avoided && r.avoid(), Dead: r.dead() && !r.buried, Well: avoided && !r.avoid()}
+	r.buried = r.dead()
+	return v
 }
 
 func (r *row) avoid() bool { return r.fails >= failsToAvoid }
 
-func (r *row) dead() bool { return r.refused >= failsToAvoid || r.fails >= silencesToDie }
+func (r *row) dead() bool { return r.refused >= failsToAvoid || r.fails >= silencesToDie && r.evidence }
 
 // Avoid reports whether new flows should go elsewhere.
 func (p *Prober) Avoid(id rattanwood.UpstreamID) bool {
@@ -257,14 +266,15 @@
 	return r != nil && r.dead()
 }
 
-// Failing returns the upstreams to avoid, in the order of their ids.
-func (p *Prober) Failing() []rattanwood.UpstreamID {
-	var out []rattanwood.UpstreamID
-	for id, r := range p.rows {
-		if r.avoid() {
-			out = append(out, id)
+// Failing returns the upstreams to avoid, and those of them that are dead, in the order of their ids.
+func (p *Prober) Failing() (avoid, dead []rattanwood.UpstreamID) {
+	for _, id := range slices.Sorted(maps.Keys(p.rows)) {
+		if p.rows[id].avoid() {
+			avoid = append(avoid, id)
+		}
+		if p.rows[id].dead() {
+			dead = append(dead, id)
 		}
 	}
-	slices.Sort(out)
-	return out
+	return avoid, dead
 }
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -42,14 +42,15 @@
 		if len(t.recent) >= t.cfg.RecentMost {
 			return
 		}
-		r = &recentFlow{upstream: s.Tag}
+		r = &recentFlow{upstream: s.Tag, segment: rattanwood.Segment{Caller: s.Caller, Target: s.Target, Flags: s.Flags}}
 		t.recent[key] = r
 	}
-	r.opening, r.packet, r.at = false, nil, now
+	r.opening, r.packet, r.at, r.segment.Ack = false, nil, now, s.Ack
 	switch {
 	case s.Flags.Has(rattanwood.FlagReset), s.Flags.Has(rattanwood.FlagClose):
 		delete(t.recent, key)
 	case s.Length == 0:
+		r.segment.Flags = s.Flags
 	case r.segment.Length > 0 && r.segment.Seq == s.Seq:
 		t.cfg.Prober.Hint(s.Tag)
 	default:
@@ -83,18 +84,16 @@
 	return out
 }
 
-// Ends returns resets for the recent flows of an upstream that is proved dead, so that
-// their Callers can ask again within their time limits.
+// Ends returns resets for the flows of an upstream that is proved dead, so that their Callers
+// can ask again within their time limits, or open another flow before they ask.
 func (t *Tagger) Ends(id rattanwood.UpstreamID) []Emission {
 	var out []Emission
 	for key, r := range t.recent {
 		if r.upstream != id || r.opening {
 			continue
 		}
-		if r.segment.Length > 0 {
-			t.counts[Reset][Dead]++
-			out = append(out, Emission{Verdict: Verdict{Action: Reset, Reason: Dead}, Segment: r.segment})
-		}
+		t.counts[Reset][Dead]++
+		out = append(out, Emission{Verdict: Verdict{Action: Reset, Reason: Dead}, Segment: r.segment})
 		delete(t.recent, key)
 	}
 	byCaller(out)
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -119,8 +119,8 @@
 		UnknownTime: 3 * time.Second,
 		// The longest life of a flow on the users' sites.
 		KeepTime: 60 * time.Second,
-		// Covers all copies of a first packet, the last after 0.6 s, and two retransmissions.
-		RecentTime: 2 * time.Second,
+		// As long as an idle flow may live on the users' sites.
+		RecentTime: 15 * time.Second,
 		RecentMost: 20_000,
 	}
 }
--- a/tagger/tagger_test.go
+++ b/tagger/tagger_test.go
@@ -295,6 +295,7 @@
 		c.Assert(w.follow(caller, board, 2, 5).Action, qt.Equals, tagger.Forward)
 	}
 	c.Assert(len(opening) > 3 && len(running) > 3, qt.IsTrue)
+	w.probes.Hint(2)
 	c.Assert(w.fail(2, prober.Silent), qt.Equals, prober.Verdict{Avoid: true, Dead: true})
 	for _, e := range w.Moves(w.now, 2) {
 		c.Assert(opening[e.Segment.Caller.Port()], qt.IsTrue)
