Ask who answers at an address before trusting a connection

Change: checks that follow evidence ask for the instance's name; another's name counts as a refusal. Ruled out: dropping every check that disagrees with repeated first packets (losses look the same).

--- a/internal/cli/balancer.go
+++ b/internal/cli/balancer.go
@@ -85,7 +85,7 @@
 		n, err := node.New(node.Config{
 			Settings: set, File: c.Settings, Life: life, Log: log,
 			Source: platform.NewStore(netip.MustParseAddrPort(set.Platform)), Interpreter: platform.Interpreter{},
-			Codec: platform.Codec{Port: set.TunnelAddress().Port()},
+			Codec: platform.Codec{Port: set.TunnelAddress().Port()}, Identifier: platform.NewIdentifier(),
 		})
 		if err != nil {
 			return err
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -12,7 +12,7 @@
 
 // counters are counted outside of the decision logic.
 type counters struct {
-	calls, callErrors, checks atomic.Uint64
+	calls, callErrors, checks, identities atomic.Uint64
 }
 
 // Descriptions of the metrics.
@@ -21,6 +21,7 @@
 	descRejected = prometheus.NewDesc("rattanwood_rejected_total", "Bad input by reason.", []string{"reason"}, nil)
 	descCalls    = prometheus.NewDesc("rattanwood_source_calls_total", "Calls of the source.", []string{"outcome"}, nil)
 	descChecks   = prometheus.NewDesc("rattanwood_checks_total", "Connections opened to check upstreams.", nil, nil)
+	descIdentify = prometheus.NewDesc("rattanwood_identifications_total", "Upstreams asked who they are.", nil, nil)
 	descControl  = prometheus.NewDesc("rattanwood_control_bytes_total", "Bytes of heartbeats and the like by class.", []string{"class", "fate"}, nil)
 	descRevision = prometheus.NewDesc("rattanwood_source_revision", "Revision of the records.", nil, nil)
 	descAge      = prometheus.NewDesc("rattanwood_source_age_seconds", "Time since the records were known to be current.", nil, nil)
@@ -76,6 +77,7 @@
 	counter(descCalls, calls-min(failed, calls), "answered")
 	counter(descCalls, failed, "failed")
 	counter(descChecks, n.counters.checks.Load())
+	counter(descIdentify, n.counters.identities.Load())
 	counter(descLost, n.cfg.Log.Dropped())
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,7 @@
 	Source      rattanwood.Source
 	Interpreter rattanwood.Interpreter
 	Codec       rattanwood.Codec
+	Identifier  rattanwood.Identifier
 }
 
 // Node is one balancer process.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -220,7 +220,7 @@
 	f.c.Assert(err, qt.IsNil)
 	n, err := node.New(node.Config{
 		Settings: set, File: file, Life: rattanwood.Incarnation(time.Now().UnixNano()), Log: log,
-		Source: f.src, Interpreter: platform.Interpreter{}, Codec: platform.Codec{Port: uint16(f.ports.Tunnel)},
+		Source: f.src, Interpreter: platform.Interpreter{}, Codec: platform.Codec{Port: uint16(f.ports.Tunnel)}, Identifier: platform.NewIdentifier(),
 	})
 	f.c.Assert(err, qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -19,7 +19,8 @@
 const (
 	// Answered means that the upstream accepted a connection.
 	Answered Outcome = iota
-	// Refused means that its host turned the connection away: no process listens there.
+	// Refused means that its host turned the connection away, so that no process listens there, or that
+	// another upstream answered in its place.
 	Refused
 	// Silent means that nothing came back in time.
 	Silent
@@ -147,24 +148,32 @@
 	}
 }
 
-// Due returns the upstreams to check now. Each of them must be followed by a Result. Checks that may
+// Check is an upstream to check.
+type Check struct {
+	Upstream rattanwood.UpstreamID
+	// Identify is set if it isn't enough that something accepts a connection at the upstream's address.
+	Identify bool
+}
+
+// Due returns the checks to begin now. Each of them must be followed by a Result. Checks that may
 // find an upstream silent come with one of an upstream that answered lately, as a control.
-func (p *Prober) Due(now time.Duration, duty func(rattanwood.UpstreamID) Duty) []rattanwood.UpstreamID {
-	var due []rattanwood.UpstreamID
+func (p *Prober) Due(now time.Duration, duty func(rattanwood.UpstreamID) Duty) []Check {
+	var due []Check
 	doubt := false
 	for _, id := range slices.Sorted(maps.Keys(p.rows)) {
 		r := p.rows[id]
 		if r.running || !p.due(now, r, duty(id)) || !p.budget.Allow(now, limiter.Answers, 1) {
 			continue
 		}
-		doubt = doubt || r.fails > 0 || r.hinted || r.rumour
+		doubtful := r.fails > 0 || r.hinted || r.rumour || r.evidence
+		doubt = doubt || doubtful
 		r.start(now)
-		due = append(due, id)
+		due = append(due, Check{Upstream: id, Identify: doubtful})
 	}
 	if doubt {
 		if id, ok := p.pickControl(); ok {
 			p.rows[id].start(now)
-			due = append(due, id)
+			due = append(due, Check{Upstream: id})
 		}
 	}
 	return due
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -21,7 +21,7 @@
 	n     int
 	now   time.Duration
 	ends  map[rattanwood.UpstreamID]check
-	see   func(now time.Duration, id rattanwood.UpstreamID) prober.Outcome
+	see   func(now time.Duration, due prober.Check) prober.Outcome
 	duty  prober.Duty
 	count int
 	// avoided and died are when the first verdict of each kind came.
@@ -36,7 +36,7 @@
 func newWorld(n int) *world {
 	w := &world{
 		p: prober.New(prober.DefaultConfig()), n: n, ends: map[rattanwood.UpstreamID]check{}, duty: prober.Local,
-		see:     func(time.Duration, rattanwood.UpstreamID) prober.Outcome { return prober.Answered },
+		see:     func(time.Duration, prober.Check) prober.Outcome { return prober.Answered },
 		avoided: map[rattanwood.UpstreamID]time.Duration{}, died: map[rattanwood.UpstreamID]time.Duration{},
 	}
 	for i := range n {
@@ -53,9 +53,10 @@
 				w.result(id, c)
 			}
 		}
-		for _, id := range w.p.Due(w.now, func(rattanwood.UpstreamID) prober.Duty { return w.duty }) {
+		for _, due := range w.p.Due(w.now, func(rattanwood.UpstreamID) prober.Duty { return w.duty }) {
 			w.count++
-			c := check{began: w.now, ends: w.now, outcome: w.see(w.now, id)}
+			id := due.Upstream
+			c := check{began: w.now, ends: w.now, outcome: w.see(w.now, due)}
 			if c.outcome == prober.Silent {
 				c.ends += timeout
 			}
@@ -94,8 +95,8 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			w := newWorld(14)
-			w.see = func(now time.Duration, id rattanwood.UpstreamID) prober.Outcome {
-				if now >= crash && id == 3 {
+			w.see = func(now time.Duration, due prober.Check) prober.Outcome {
+				if now >= crash && due.Upstream == 3 {
 					return test.outcome
 				}
 				return prober.Answered
@@ -110,7 +111,7 @@
 			died, ok := w.died[3]
 			c.Assert(ok, qt.Equals, test.dead != never, qt.Commentf("dead after %v", died-crash))
 			c.Assert(!ok || died-crash <= test.dead, qt.IsTrue, qt.Commentf("dead after %v", died-crash))
-			w.see = func(time.Duration, rattanwood.UpstreamID) prober.Outcome { return prober.Answered }
+			w.see = func(time.Duration, prober.Check) prober.Outcome { return prober.Answered }
 			w.run(crash + 7*time.Second)
 			c.Assert(w.p.Avoid(3), qt.IsFalse)
 		})
@@ -119,21 +120,21 @@
 
 // TestNoFalseAlarm answers what makes a living upstream look silent.
 func TestNoFalseAlarm(t *testing.T) {
-	tests := map[string]func(now time.Duration, id rattanwood.UpstreamID) prober.Outcome{
-		"this node notices nothing in time": func(now time.Duration, _ rattanwood.UpstreamID) prober.Outcome {
+	tests := map[string]func(now time.Duration, due prober.Check) prober.Outcome{
+		"this node notices nothing in time": func(now time.Duration, _ prober.Check) prober.Outcome {
 			if now > 3*time.Second {
 				return prober.Silent
 			}
 			return prober.Answered
 		},
-		"this node is held up": func(now time.Duration, _ rattanwood.UpstreamID) prober.Outcome {
+		"this node is held up": func(now time.Duration, _ prober.Check) prober.Outcome {
 			if now > 3*time.Second {
 				return prober.Unclear
 			}
 			return prober.Answered
 		},
-		"each third connection is lost": func(now time.Duration, id rattanwood.UpstreamID) prober.Outcome {
-			if (int(now/step)+int(id))%3 == 0 && now%(4*step) == 0 {
+		"each third connection is lost": func(now time.Duration, due prober.Check) prober.Outcome {
+			if (int(now/step)+int(due.Upstream))%3 == 0 && now%(4*step) == 0 {
 				return prober.Silent
 			}
 			return prober.Answered
@@ -160,7 +161,7 @@
 func TestChecksAreBounded(t *testing.T) {
 	tests := map[string]func(w *world){
 		"all refused": func(w *world) {
-			w.see = func(time.Duration, rattanwood.UpstreamID) prober.Outcome { return prober.Refused }
+			w.see = func(time.Duration, prober.Check) prober.Outcome { return prober.Refused }
 		},
 		"rumours about all": func(w *world) {
 			w.duty = prober.Watched
@@ -185,3 +186,22 @@
 		})
 	}
 }
+
+// TestAddressOfAnother answers an upstream that goes dark and whose address passes to another one, while the
+// registry is away: connections are accepted there, but not by the upstream.
+func TestAddressOfAnother(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(14)
+	w.see = func(_ time.Duration, due prober.Check) prober.Outcome {
+		if due.Upstream == 3 && due.Identify {
+			return prober.Refused
+		}
+		return prober.Answered
+	}
+	w.run(5 * time.Second)
+	c.Assert(w.died, qt.HasLen, 0, qt.Commentf("nobody has asked yet"))
+	w.p.Hint(3)
+	w.run(20 * time.Second)
+	c.Assert(w.died[3] <= 5400*time.Millisecond, qt.IsTrue)
+	c.Assert(w.p.Dead(3), qt.IsTrue, qt.Commentf("connections that are accepted don't make it well again"))
+}
--- a/source.go
+++ b/source.go
@@ -53,6 +53,12 @@
 	Instance(key string) (in Instance, ok bool)
 }
 
+// Identifier asks an upstream who it is.
+type Identifier interface {
+	// Identify returns the instance that answers at an address, or a SourceError.
+	Identify(ctx context.Context, address netip.AddrPort, path string) (Instance, error)
+}
+
 // Entity is a *Routing or a *Registration.
 type Entity interface{ entity() }
 
@@ -60,6 +66,8 @@
 type Routing struct {
 	Version Version
 	Routes  []Route
+	// Health is where each service's upstreams answer questions about themselves, over HTTP.
+	Health map[ServiceID]string
 	// Invalid counts the routes that were left out because they can't be used.
 	Invalid int
 }
@@ -146,7 +154,7 @@
 	CallerPort() uint16
 }
 
-// SourceError reports a call that a Source did not answer.
+// SourceError reports a call that a Source or an Identifier did not answer.
 type SourceError struct {
 	Call string
 	// Reason is a fixed word, also used as a label of metrics.
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -148,6 +148,7 @@
 type Tagger struct {
 	cfg       Config
 	version   rattanwood.Version
+	health    map[rattanwood.ServiceID]string
 	routes    map[netip.AddrPort]*rattanwood.Route
 	upstreams map[rattanwood.UpstreamID]*upstream
 	services  map[rattanwood.ServiceID][]*upstream
@@ -193,7 +194,7 @@
 	if r.Version <= t.version && len(t.routes) > 0 {
 		return false
 	}
-	t.version = r.Version
+	t.version, t.health = r.Version, r.Health
 	t.routes = make(map[netip.AddrPort]*rattanwood.Route, len(r.Routes))
 	for i := range r.Routes {
 		t.routes[r.Routes[i].Address] = &r.Routes[i]
@@ -201,6 +202,9 @@
 	return true
 }
 
+// HealthPath returns where the upstreams of a service answer questions about themselves; empty for nowhere.
+func (t *Tagger) HealthPath(service rattanwood.ServiceID) string { return t.health[service] }
+
 // SetRegistration takes in what an upstream says of itself. It reports false if another
 // upstream has the same tag, so that this one can't be used.
 func (t *Tagger) SetRegistration(now time.Duration, r rattanwood.Registration) bool {
