--- a/placer/placer.go
+++ b/placer/placer.go
@@ -36,8 +36,8 @@
 		Window: 4 * time.Second,
 		// Of one to two requests a second, as Callers with long flows send them, over the window.
 		OpenWork: 5,
-		// At the load for which sites are sized (about half), the own upstreams stay under two thirds.
-		Excess: 0.25,
+		// At the load for which sites are sized (about half), the own upstreams stay under three quarters.
+		Excess: 0.5,
 		// Three reports of one second may be lost.
 		ReportAge: 4 * time.Second,
 		Random:    random,
