--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 PROTOC_GEN_GO_VERSION := v1.36.12
 PROTOC_GEN_DRPC_VERSION := v1.1.0
 
-.PHONY: demo build test unit lint bench soak fuzz gen tidy clean
+.PHONY: demo build test unit lint bench soak soak-processes fuzz gen tidy clean
 
 # Runs the whole path as processes; the last line of its output is the report.
 demo: build
@@ -46,6 +46,12 @@
 	go test -count=1 -timeout 120m ./balancer -args -seeds $(SEEDS)
 	go test -count=1 -timeout 120m ./executor -run TestPromises -args -seeds $(SEEDS)
 
+# Balancers with tags as processes, through random series of faults. NETWORK is the loopback
+# network 127.N, for several side by side.
+NETWORK ?= 60
+soak-processes: build
+	$(BIN)/standin soak --bin $(BIN)/rattanwood --seed $(SEED) --seeds $(SEEDS) --slot $(NETWORK)
+
 # A short fuzz of each decoder at a border.
 FUZZ_TIME ?= 10s
 fuzz:
@@ -53,6 +59,8 @@
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_TIME) ./checker
 	go test -run '^$$' -fuzz FuzzMessage -fuzztime $(FUZZ_TIME) ./balancer
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_TIME) ./internal/settings
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_TIME) ./platform
+	go test -run '^$$' -fuzz FuzzInterpret -fuzztime $(FUZZ_TIME) ./platform
 
 # Generated code is committed; this needs protoc.
 gen: $(BIN)/goa $(BIN)/protoc-gen-go $(BIN)/protoc-gen-go-drpc
--- a/standins/cmd/standin/main.go
+++ b/standins/cmd/standin/main.go
@@ -14,6 +14,7 @@
 	"example.org/rattanwood/standins/fabric"
 	"example.org/rattanwood/standins/platform"
 	"example.org/rattanwood/standins/runner"
+	"example.org/rattanwood/standins/soaker"
 	"example.org/rattanwood/standins/upstream"
 )
 
@@ -23,6 +24,7 @@
 	Upstream upstream.Config `cmd:"" help:"Run one upstream."`
 	Caller   caller.Config   `cmd:"" help:"Open flows and send requests."`
 	Demo     runner.Config   `cmd:"" help:"Run everything and report."`
+	Soak     soaker.Config   `cmd:"" help:"Run balancers with tags through random faults and check the promises."`
 }
 
 func main() {
--- a/standins/runner/faults.go
+++ b/standins/runner/faults.go
@@ -26,7 +26,7 @@
 func (d *demo) faults(ctx context.Context) error {
 	d.at(ctx, 0.15, "balancer 1 is killed")
 	d.losses = append(d.losses, time.Now())
-	d.balancers[d.vm(1)].signal(syscall.SIGKILL)
+	d.balancers[d.vm(1)].Signal(syscall.SIGKILL)
 	sleep(ctx, listLag)
 	d.delist(1)
 	if err := d.put("/vms", d.vms); err != nil {
@@ -45,9 +45,9 @@
 	}
 	d.at(ctx, 0.5, "balancer 3 is paused for 3 s")
 	d.losses = append(d.losses, time.Now())
-	d.balancers[d.vm(3)].signal(syscall.SIGSTOP)
+	d.balancers[d.vm(3)].Signal(syscall.SIGSTOP)
 	sleep(ctx, 3*time.Second)
-	d.balancers[d.vm(3)].signal(syscall.SIGCONT)
+	d.balancers[d.vm(3)].Signal(syscall.SIGCONT)
 	d.at(ctx, 0.65, "an upstream drains by document, and the platform goes down and comes back stale")
 	d.doc.Version++
 	d.doc.Services[0].Upstreams[0].Until = d.doc.Version
@@ -69,7 +69,7 @@
 // replace stops balancer n gracefully and starts another VM in its place.
 func (d *demo) replace(n int) error {
 	d.controls = append(d.controls, d.controlOf(n))
-	d.balancers[d.vm(n)].signal(syscall.SIGTERM)
+	d.balancers[d.vm(n)].Signal(syscall.SIGTERM)
 	d.delist(n)
 	next := d.cfg.Balancers + 1
 	d.enlist(next)
--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -17,6 +17,7 @@
 
 	"example.org/rattanwood"
 	"example.org/rattanwood/checker"
+	"example.org/rattanwood/standins/launcher"
 )
 
 // Ports of the demo; every balancer and upstream has an IP number of its own.
@@ -67,10 +68,10 @@
 // demo is a run under way.
 type demo struct {
 	cfg       *Config
-	procs     processes
+	procs     launcher.Launcher
 	doc       rattanwood.Document
 	vms       []rattanwood.VM
-	balancers map[rattanwood.VMID]*process
+	balancers map[rattanwood.VMID]*launcher.Process
 	upstreams map[string]netip.AddrPort
 	// losses are when a balancer was killed or paused without warning.
 	losses []time.Time
@@ -94,11 +95,11 @@
 	}
 	d := &demo{
 		cfg:       c,
-		procs:     processes{dir: dir},
-		balancers: map[rattanwood.VMID]*process{},
+		procs:     launcher.Launcher{Dir: dir},
+		balancers: map[rattanwood.VMID]*launcher.Process{},
 		upstreams: map[string]netip.AddrPort{},
 	}
-	defer d.procs.stopAll()
+	defer d.procs.StopAll()
 	fmt.Fprintln(os.Stderr, "logs are in", dir)
 	if err := d.start(ctx); err != nil {
 		return err
@@ -123,7 +124,7 @@
 
 // start brings up the platform, the upstreams, the balancers and the fabric.
 func (d *demo) start(ctx context.Context) error {
-	if _, err := d.procs.start("platform", d.standin(), "platform", d.platform()); err != nil {
+	if _, err := d.procs.Start("platform", d.standin(), "platform", d.platform()); err != nil {
 		return err
 	}
 	if err := ready(ctx, "http://"+d.platform()+"/calls"); err != nil {
@@ -150,7 +151,7 @@
 		}
 	}
 	fabric := fmt.Sprintf("127.0.0.1:%d", d.port(fabricPort))
-	_, err := d.procs.start("fabric", d.standin(), "fabric", fabric, "--platform", d.platform(),
+	_, err := d.procs.Start("fabric", d.standin(), "fabric", fabric, "--platform", d.platform(),
 		"--tunnel", fmt.Sprint(d.port(tunnelPort)), "--seed", fmt.Sprint(d.cfg.Seed))
 	if err != nil {
 		return err
@@ -195,7 +196,7 @@
 	}
 	d.doc.Services[i].Upstreams = append(d.doc.Services[i].Upstreams, u)
 	d.upstreams[name] = u.Web
-	_, err := d.procs.start(name, d.standin(), "upstream", "--name", name, "--service", string(s.name),
+	_, err := d.procs.Start(name, d.standin(), "upstream", "--name", name, "--service", string(s.name),
 		"--tunnel", u.Tunnel.String(), "--web", u.Web.String(), "--slots", fmt.Sprint(s.slots), "--seed", fmt.Sprint(d.cfg.Seed+uint64(n)))
 	return err
 }
@@ -254,21 +255,21 @@
 }
 
 func (d *demo) startBalancer(n int) error {
-	file := filepath.Join(d.procs.dir, string(d.vm(n))+".json")
+	file := filepath.Join(d.procs.Dir, string(d.vm(n))+".json")
 	text := fmt.Sprintf(`// Settings of a balancer of the demo.
 {"vm": %q, "centre": %q, "address": %q, "platform": %q, "ports": {"peer": %d, "tunnel": %d, "web": %d}, "times": {"list": 1000}}
 `, d.vm(n), d.centre(n), d.ip(n), d.platform(), d.port(peerPort), d.port(tunnelPort), d.port(webPort))
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
-	p, err := d.procs.start(string(d.vm(n)), filepath.Join(d.cfg.Bin, "rattanwood"), "serve", file)
+	p, err := d.procs.Start(string(d.vm(n)), filepath.Join(d.cfg.Bin, "rattanwood"), "serve", file)
 	d.balancers[d.vm(n)] = p
 	return err
 }
 
 // load runs the Caller while faults happen, and collects the counts.
 func (d *demo) load(ctx context.Context) (*Report, error) {
-	out := filepath.Join(d.procs.dir, "caller.json")
+	out := filepath.Join(d.procs.Dir, "caller.json")
 	args := []string{
 		"caller", "--listen", fmt.Sprintf("127.0.0.1:%d", d.port(callerPort)), "--fabric", fmt.Sprintf("127.0.0.1:%d", d.port(fabricPort)),
 		"--platform", d.platform(), "--web", fmt.Sprint(d.port(webPort)), "--flows", fmt.Sprint(d.cfg.Flows), "--rate", fmt.Sprint(d.cfg.Rate),
@@ -279,7 +280,7 @@
 	}
 	before := d.control()
 	d.begun = time.Now()
-	c, err := d.procs.start("caller", d.standin(), args...)
+	c, err := d.procs.Start("caller", d.standin(), args...)
 	if err != nil {
 		return nil, err
 	}
@@ -288,7 +289,7 @@
 			return nil, err
 		}
 	}
-	c.wait(ctx)
+	c.Wait(ctx)
 	seconds := time.Since(d.begun).Seconds()
 	return d.collect(out, before, seconds)
 }
--- /dev/null
+++ b/standins/soaker/caller.go
@@ -0,0 +1,198 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strings"
+	"time"
+)
+
+const (
+	// firstWait and openWaits are when a Caller repeats a packet.
+	firstWait = 200 * time.Millisecond
+	// requestLimit is the time that a Caller gives a request.
+	requestLimit = time.Second
+	// flowRequests is the number of requests of a flow.
+	flowRequests = 12
+)
+
+// client is one Caller. It has one flow at a time.
+type client struct {
+	w      *world
+	n      int
+	ip     netip.Addr
+	conn   *net.UDPConn
+	in     chan arrival
+	port   uint16
+	random *rand.Rand
+}
+
+type arrival struct {
+	packet
+	from netip.AddrPort
+}
+
+// outcome is how a try ended.
+type outcome int
+
+const (
+	answered outcome = iota
+	// notOpened tries certainly did not run.
+	notOpened
+	unknown
+)
+
+func newClient(w *world, n int, ip string) (*client, error) {
+	c := &client{w: w, n: n, ip: netip.MustParseAddr(ip), in: make(chan arrival, 256), port: 1024, random: rand.New(rand.NewPCG(w.cfg.Seed, uint64(n)))}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(c.ip, tunnelPort)))
+	if err != nil {
+		return nil, err
+	}
+	c.conn = conn
+	go c.receive()
+	return c, nil
+}
+
+func (c *client) receive() {
+	buf := make([]byte, 2048)
+	for {
+		n, from, err := c.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		if p, ok := decode(buf[:n]); ok {
+			select {
+			case c.in <- arrival{packet: p, from: from}:
+			default:
+			}
+		}
+	}
+}
+
+// run sends requests until ctx ends.
+func (c *client) run(ctx context.Context) {
+	defer func() { _ = c.conn.Close() }()
+	for n := 0; ctx.Err() == nil; {
+		address := addressSwap
+		if c.n%3 == 0 {
+			address = addressMaps
+		}
+		f := c.open(ctx, address)
+		if ctx.Err() != nil {
+			return
+		}
+		if f == nil {
+			c.w.count(false)
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		for range flowRequests {
+			n++
+			id := fmt.Sprintf("%d-%d", c.n, n)
+			result := f.request(ctx, id)
+			if ctx.Err() != nil {
+				// The soak is over, and nobody waits for this answer.
+				return
+			}
+			c.w.count(result == answered)
+			if result != answered || f.ended {
+				break
+			}
+			time.Sleep(time.Duration(20+c.random.IntN(60)) * time.Millisecond)
+		}
+	}
+}
+
+// flow is the Caller's end of a flow.
+type flow struct {
+	c     *client
+	ends  flowEnds
+	echo  uint32
+	seq   uint32
+	ack   uint32
+	ended bool
+}
+
+// open sends a first packet and its copies; nil means that nothing has been opened.
+func (c *client) open(ctx context.Context, address string) *flow {
+	c.port++
+	f := &flow{c: c, ends: flowEnds{caller: netip.AddrPortFrom(c.ip, c.port), target: netip.MustParseAddrPort(address)}, seq: c.random.Uint32()}
+	began := time.Now()
+	c.w.opened(f.ends, began)
+	for copies, wait := uint32(0), firstWait; copies < 3 && ctx.Err() == nil; copies, wait = copies+1, 2*wait {
+		f.send(packet{flags: bitOpen, seq: f.seq, ack: copies})
+		a, ok := f.wait(wait, func(a arrival) bool { return a.flags&(bitOpen|bitReset) != 0 })
+		if !ok {
+			continue
+		}
+		if a.flags&bitReset != 0 {
+			c.w.checkRefusal(f.ends, began)
+			return nil
+		}
+		f.seq, f.ack = f.seq+1, a.seq+1
+		f.send(packet{flags: bitAck, seq: f.seq, ack: f.ack})
+		return f
+	}
+	return nil
+}
+
+// request sends a request and waits for its answer.
+func (f *flow) request(ctx context.Context, id string) outcome {
+	end := time.Now().Add(requestLimit)
+	for wait := firstWait; ctx.Err() == nil; wait *= 2 {
+		left := time.Until(end)
+		if left <= 0 {
+			break
+		}
+		f.send(packet{flags: bitAck, seq: f.seq, ack: f.ack, data: id})
+		a, ok := f.wait(min(wait, left), func(a arrival) bool {
+			return a.flags&bitReset != 0 || strings.HasPrefix(a.data, id+"|")
+		})
+		switch {
+		case !ok:
+		case a.flags&bitReset != 0:
+			f.ended = true
+			if !a.signed {
+				f.c.w.checkReset(f.ends, a.from)
+			}
+			return unknown
+		default:
+			f.seq += uint32(len(id))
+			f.ack += uint32(len(a.data))
+			f.ended = a.flags&bitClose != 0
+			return answered
+		}
+	}
+	f.ended = true
+	return unknown
+}
+
+func (f *flow) send(p packet) {
+	p.from, p.to, p.echo, p.signed = f.ends.caller, f.ends.target, f.echo, true
+	f.c.w.router.forward(p)
+}
+
+// wait returns the first packet of this flow that matches, and takes over the echo of all.
+func (f *flow) wait(d time.Duration, match func(arrival) bool) (arrival, bool) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			return arrival{}, false
+		case a := <-f.c.in:
+			if a.to != f.ends.caller {
+				continue
+			}
+			if a.signed && a.echo != 0 {
+				f.echo = a.echo
+			}
+			if match(a) {
+				return a, true
+			}
+		}
+	}
+}
--- /dev/null
+++ b/standins/soaker/router.go
@@ -0,0 +1,97 @@
+package soaker
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// probePeriod is the time between two questions whether a balancer is ready.
+const probePeriod = 500 * time.Millisecond
+
+// router stands in for the platform's routers: it hashes flows over the balancers in rotation, by
+// modulo, so that most flows move whenever that changes.
+type router struct {
+	mu    sync.Mutex
+	nodes []*target
+	conn  *net.UDPConn
+}
+
+type target struct {
+	ip     string
+	misses int
+}
+
+func newRouter(ips []string) (*router, error) {
+	conn, err := net.ListenUDP("udp4", nil)
+	if err != nil {
+		return nil, err
+	}
+	r := &router{conn: conn}
+	for _, ip := range ips {
+		r.nodes = append(r.nodes, &target{ip: ip, misses: 2})
+	}
+	return r, nil
+}
+
+// run asks the balancers whether they are ready.
+func (r *router) run(ctx context.Context) {
+	client := &http.Client{Timeout: probePeriod, Transport: &http.Transport{DisableKeepAlives: true}}
+	for ; ctx.Err() == nil; time.Sleep(probePeriod) {
+		for _, t := range r.nodes {
+			go func() {
+				res, err := client.Get("http://" + net.JoinHostPort(t.ip, webPort) + "/ready")
+				ok := err == nil && res.StatusCode == http.StatusOK
+				if err == nil {
+					_ = res.Body.Close()
+				}
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				if t.misses++; ok {
+					t.misses = 0
+				}
+			}()
+		}
+	}
+}
+
+// ready returns the number of balancers that are ready.
+func (r *router) ready() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, t := range r.nodes {
+		if t.misses == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// rotation returns the balancers that get packets: all, if fewer than half are ready.
+func (r *router) rotation() []*target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ready []*target
+	for _, t := range r.nodes {
+		if t.misses < 2 {
+			ready = append(ready, t)
+		}
+	}
+	if 2*len(ready) < len(r.nodes) {
+		return r.nodes
+	}
+	return ready
+}
+
+func (r *router) forward(p packet) {
+	ready := r.rotation()
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(p.from.String() + p.to.String()))
+	t := ready[int(h.Sum32()%uint32(len(ready)))]
+	_, _ = r.conn.WriteToUDPAddrPort(p.encode(), netip.AddrPortFrom(netip.MustParseAddr(t.ip), tunnelPort))
+}
