Let readers far apart find each other, and open nothing on waking

(3) a graceful stop sometimes failed with a listener that was closed twice. Change: the confirmation passed on is that of the reader others yield to; first packets are dropped for 50 ms after a pause; the closed listener is no error. Ruled out: dropping all packets on waking (a tag is never too old).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -295,11 +295,12 @@
 			n.stalled = now
 		}
 		last = now
+		n.flows.Tick(now)
 		n.talk.Tick(now, n.knowledge)
 		if now-swept >= sweepPeriod {
 			swept = now
 			n.loads.Tick(now)
-			n.flows.Tick(now)
+			n.flows.Sweep(now)
 		}
 		due := n.checks.Due(now, n.duty)
 		actions := n.talk.Take()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -165,8 +165,8 @@
 
 // confirm takes in a confirmation, and lets the neighbours know soon if it is news; mu is held.
 func (n *Node) confirm(now time.Duration, c watcher.Confirmation) {
+	n.flows.Confirm(c.At)
 	if n.watch.Confirm(now, c) {
-		n.flows.Confirm(c.At)
 		n.talk.Members.Hurry()
 	}
 }
--- a/internal/node/web.go
+++ b/internal/node/web.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -45,7 +46,7 @@
 	}
 	closing, cancel := context.WithTimeout(context.Background(), closeDeadline)
 	defer cancel()
-	if err := srv.Shutdown(closing); err != nil {
+	if err := srv.Shutdown(closing); err != nil && !errors.Is(err, net.ErrClosed) {
 		return oops.Code("web_close").Wrap(err)
 	}
 	return nil
--- a/standins/soaker/schedule.go
+++ b/standins/soaker/schedule.go
@@ -139,7 +139,7 @@
 	b := all[i]
 	if replace {
 		s.services[service] = append(all[:i:i], all[i+1:]...)
-		if _, err := s.addBack(service); err != nil {
+		if err := s.addBack(service); err != nil {
 			return event{name, func(context.Context) error { return err }}, true
 		}
 	}
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -179,12 +179,12 @@
 		return err
 	}
 	for range 6 {
-		if _, err := s.addBack(serviceSwap); err != nil {
+		if err := s.addBack(serviceSwap); err != nil {
 			return err
 		}
 	}
 	for range 3 {
-		if _, err := s.addBack(serviceMaps); err != nil {
+		if err := s.addBack(serviceMaps); err != nil {
 			return err
 		}
 	}
@@ -218,19 +218,19 @@
 }
 
 // addBack starts an upstream of a service and registers it.
-func (s *soak) addBack(service string) (*back, error) {
+func (s *soak) addBack(service string) error {
 	s.next++
 	host := int(s.next & 0xff)
 	b, err := newBack(s.world, s.next, service, s.ip(43, host)+":8080", s.ip(44, host)+":8080")
 	if err != nil {
-		return nil, err
+		return err
 	}
 	s.mu.Lock()
 	s.backs = append(s.backs, b)
 	s.mu.Unlock()
 	s.services[service] = append(s.services[service], b)
 	b.register()
-	return b, nil
+	return nil
 }
 
 // route leads an address to a service, or nowhere.
--- a/standins/soaker/upstream.go
+++ b/standins/soaker/upstream.go
@@ -151,6 +151,10 @@
 		}
 		f.echo = p.echo
 		b.reply(key, packet{flags: bitOpen | bitAck, seq: uint32(b.id), ack: p.seq + 1, echo: p.echo})
+	case f != nil && !f.open && p.ack != uint32(b.id)+1:
+		// The Caller has opened the flow at another upstream.
+		b.w.checkStray(b, key)
+		b.reply(key, packet{flags: bitReset, seq: p.ack, echo: p.echo})
 	case f == nil || f.closed:
 		b.w.checkStray(b, key)
 		b.reply(key, packet{flags: bitReset, seq: p.ack, echo: p.echo})
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -25,6 +25,9 @@
 
 // open decides on a flow's first packet or a copy of it.
 func (t *Tagger) open(now time.Duration, s rattanwood.Segment, packet []byte) Verdict {
+	if t.waking(now) {
+		return Verdict{Reason: Waking}
+	}
 	route := t.routes[s.Target]
 	if route == nil {
 		return t.deny(now, Unbound)
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -62,13 +62,15 @@
 	Forged
 	// Stale is for what can't be decided, since the own knowledge may be out of date.
 	Stale
+	// Waking is for first packets that may have waited here while copies of them went elsewhere.
+	Waking
 	reasons
 )
 
 // String returns the name of the reason.
 func (r Reason) String() string {
 	return [...]string{
-		"tagged", "placed", "repeated", "moved", "unbound", "empty", "unknown", "dead", "untagged", "forged", "stale",
+		"tagged", "placed", "repeated", "moved", "unbound", "empty", "unknown", "dead", "untagged", "forged", "stale", "waking",
 	}[r]
 }
 
@@ -101,6 +103,9 @@
 	UnknownTime time.Duration
 	// KeepTime is how long a vanished upstream's address is kept for its flows.
 	KeepTime time.Duration
+	// WakeGap is the time without a Tick after which this process was paused, and WakeTime how long
+	// packets that waited meanwhile may still come.
+	WakeGap, WakeTime time.Duration
 	// RecentTime is how long a flow is remembered after its last packet.
 	RecentTime time.Duration
 	// RecentMost bounds the remembered flows.
@@ -119,6 +124,10 @@
 		UnknownTime: 3 * time.Second,
 		// The longest life of a flow on the users' sites.
 		KeepTime: 60 * time.Second,
+		// Callers repeat a first packet after 200 ms, so that what waited longer has a copy elsewhere.
+		WakeGap: 200 * time.Millisecond,
+		// The time to read a full socket buffer, and far less than until the next copy.
+		WakeTime: 50 * time.Millisecond,
 		// As long as an idle flow may live on the users' sites.
 		RecentTime: 15 * time.Second,
 		RecentMost: 20_000,
@@ -156,7 +165,9 @@
 	unknown   map[rattanwood.UpstreamID]time.Duration
 	confirmed time.Duration
 	sure      bool
-	counts    Counts
+	// ticked is the time of the last Tick, and woke that of the end of the last pause.
+	ticked, woke time.Duration
+	counts       Counts
 }
 
 // Counts are the packets by decision.
@@ -256,8 +267,24 @@
 	return false
 }
 
-// Tick forgets what is over.
+// Tick says that the process runs. It must be called more often than WakeGap.
 func (t *Tagger) Tick(now time.Duration) {
+	if t.ticked != 0 && now-t.ticked > t.cfg.WakeGap {
+		t.woke = now
+	}
+	t.ticked = now
+}
+
+// waking reports whether a packet may have waited while this process was paused.
+func (t *Tagger) waking(now time.Duration) bool {
+	if t.ticked != 0 && now-t.ticked > t.cfg.WakeGap {
+		t.Tick(now)
+	}
+	return t.woke != 0 && now-t.woke < t.cfg.WakeTime
+}
+
+// Sweep forgets what is over.
+func (t *Tagger) Sweep(now time.Duration) {
 	for id, u := range t.upstreams {
 		if !u.present && now-u.vanished > t.cfg.KeepTime {
 			delete(t.upstreams, id)
--- a/tagger/tagger_test.go
+++ b/tagger/tagger_test.go
@@ -351,3 +351,31 @@
 	w.follow(1, board, 2, 20)
 	c.Assert(due(), qt.Equals, 1)
 }
+
+// TestWakingNodeOpensNothing answers a node that was paused: first packets in its socket's buffer have been repeated
+// elsewhere, and a second upstream for the same flow would take over its tag.
+func TestWakingNodeOpensNothing(t *testing.T) {
+	tests := map[string]struct {
+		pause, later time.Duration
+		want         tagger.Reason
+	}{
+		"no pause":            {50 * time.Millisecond, 0, tagger.Placed},
+		"paused":              {time.Second, 0, tagger.Waking},
+		"still reading":       {time.Second, 40 * time.Millisecond, tagger.Waking},
+		"the buffer is empty": {time.Second, 60 * time.Millisecond, tagger.Placed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld()
+			w.Tick(w.now)
+			w.now += test.pause
+			w.Confirm(w.now)
+			w.open(1, board)
+			w.now += test.later
+			w.Tick(w.now)
+			c.Assert(w.open(2, board).Reason, qt.Equals, test.want)
+			c.Assert(w.follow(3, board, 2, 1).Action, qt.Equals, tagger.Forward, qt.Commentf("a tag is never too old"))
+		})
+	}
+}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -43,6 +43,8 @@
 type Watcher struct {
 	cfg    Config
 	newest Confirmation
+	// freshest is the youngest time at which any reader found the records current.
+	freshest time.Duration
 	// seen are the last confirmations of each reader, since one that returns by way of others
 	// would look younger with every hop.
 	seen   map[Reader]uint64
@@ -74,19 +76,34 @@
 	if c.Reader > w.cfg.Self && now-c.At <= w.cfg.Yield {
 		w.active = false
 	}
-	if w.ever && c.At <= w.newest.At {
+	if w.ever && !w.replaces(now, c) {
+		w.freshest = max(w.freshest, c.At)
 		return false
 	}
+	w.freshest = max(w.freshest, c.At)
 	w.newest, w.ever = c, true
 	return true
 }
 
-// Newest returns the newest confirmation; ok is false if there never was one.
+// replaces reports whether a confirmation is the one to pass on. While both are fresh that is the one of the
+// reader that others yield to: around each of two readers its own would always be the newest, and
+// neither would ever hear of the other.
+func (w *Watcher) replaces(now time.Duration, c Confirmation) bool {
+	switch {
+	case c.Reader > w.newest.Reader && now-c.At <= w.cfg.Yield:
+		return true
+	case c.Reader < w.newest.Reader && now-w.newest.At <= w.cfg.Yield:
+		return false
+	}
+	return c.At > w.newest.At
+}
+
+// Newest returns the confirmation to pass on; ok is false if there never was one.
 func (w *Watcher) Newest() (c Confirmation, ok bool) { return w.newest, w.ever }
 
 // Age returns the time since the records were known to be current; ok is false if they never were.
 func (w *Watcher) Age(now time.Duration) (age time.Duration, ok bool) {
-	return max(now-w.newest.At, 0), w.ever
+	return max(now-w.freshest, 0), w.ever
 }
 
 // Active reports whether this balancer reads without waiting for the confirmation to age.
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -31,6 +31,8 @@
 	hears func(now time.Duration, i, j int) bool
 	busy  []time.Duration
 	calls int
+	// wait is the time that a read takes.
+	wait  time.Duration
 	worst time.Duration
 }
 
@@ -39,6 +41,7 @@
 		sees:  func(time.Duration, int) bool { return true },
 		hears: func(time.Duration, int, int) bool { return true },
 		busy:  make([]time.Duration, n),
+		wait:  wait,
 	}
 	for i := range n {
 		f.nodes = append(f.nodes, newWatcher(watcher.Reader(100-i)))
@@ -55,9 +58,14 @@
 				f.worst = max(f.worst, age)
 			}
 		}
+		// What a node hears in a step it passes on in the next.
+		said := make([]watcher.Confirmation, len(f.nodes))
 		for i, w := range f.nodes {
-			for j, from := range f.nodes {
-				if c, ok := from.Newest(); ok && i != j && f.hears(now, i, j) {
+			said[i], _ = w.Newest()
+		}
+		for i, w := range f.nodes {
+			for j, c := range said {
+				if c != (watcher.Confirmation{}) && i != j && f.hears(now, i, j) {
 					w.Confirm(now, c)
 				}
 			}
@@ -75,7 +83,7 @@
 		return
 	}
 	w.Read(now, now)
-	f.busy[i] = now + wait
+	f.busy[i] = now + f.wait
 }
 
 func all(int) bool { return true }
@@ -162,3 +170,19 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(age, qt.Equals, 2*time.Second)
 }
+
+// TestReadersFarApartFindEachOther answers a fleet in which confirmations go from neighbour to neighbour, and changes so
+// frequent that each reader's own confirmation is always the newest around it.
+func TestReadersFarApartFindEachOther(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(15)
+	f.hears = func(_ time.Duration, i, j int) bool { return i-j == 1 || j-i == 1 }
+	f.wait = 2 * step
+	f.sees = func(now time.Duration, i int) bool { return now < 5*time.Second || i >= 12 || i == 4 }
+	f.run(0, 20*time.Second, all)
+	f.sees = func(time.Duration, int) bool { return true }
+	f.run(20*time.Second, 30*time.Second, all)
+	f.calls = 0
+	f.run(30*time.Second, 40*time.Second, all)
+	c.Assert(f.calls <= 101, qt.IsTrue, qt.Commentf("%d calls in 10 s, of one reader 100", f.calls))
+}
