Keep news within the budget of heartbeats, and don't take slow answers for silence

After a kill of everything 131 of 162 nodes gave up a listing that was still arriving (500 ms), and began anew a second later. Change: heartbeats that only spread news are short, and carry records only for peers that don't have them; confirmations spread at most six times in the time of a change; records are packed; a call of the source ends when nothing arrives, not after a fixed time; checks on rumours need fewer connections.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -158,7 +158,7 @@
 func (d *Detector) Hurry() { d.hurried = true }
 
 // hurry is the shortest time between two rounds of heartbeats.
-const hurry = 50 * time.Millisecond
+const hurry = 100 * time.Millisecond
 
 // slowdown is how much less often members are beaten that are not alive.
 const slowdown = 4
--- a/internal/cli/balancer.go
+++ b/internal/cli/balancer.go
@@ -84,7 +84,7 @@
 		debug.SetGCPercent(tagGarbage)
 		n, err := node.New(node.Config{
 			Settings: set, File: c.Settings, Life: life, Log: log,
-			Source: platform.NewStore(netip.MustParseAddrPort(set.Platform)), Interpreter: platform.Interpreter{},
+			Source: platform.NewStore(platform.Config{Address: netip.MustParseAddrPort(set.Platform), Stall: node.SourceStall}), Interpreter: platform.Interpreter{},
 			Codec: platform.Codec{Port: set.TunnelAddress().Port()}, Identifier: platform.NewIdentifier(),
 		})
 		if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,7 @@
 	refused  map[string]uint64
 	newborn  bool
 	stalled  time.Duration
+	spreadAt time.Duration
 	leaving  atomic.Bool
 	packets  atomic.Int64
 	whole    chan struct{}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -15,6 +15,7 @@
 
 	"example.org/rattanwood"
 	"example.org/rattanwood/internal/logger"
+	"example.org/rattanwood/internal/settings"
 	"example.org/rattanwood/messenger"
 	"example.org/rattanwood/prober"
 	"example.org/rattanwood/watcher"
@@ -78,6 +79,10 @@
 
 // heard takes in the news of a heartbeat; mu is held.
 func (n *Node) heard(now time.Duration, news *messenger.News) {
+	if news.Bad != nil {
+		n.refused["peer_record"]++
+		n.log.Warn("records of a heartbeat not read", zap.String(logger.KeyPeer, string(news.From)), zap.String(logger.KeyError, news.Bad.Error()))
+	}
 	if news.Revision > n.copy.At() && len(news.Records) > 0 {
 		if changed, ok := n.copy.Apply(news.Prior, rattanwood.Changes{Records: news.Records, At: news.Revision}); ok {
 			n.apply(now, string(news.From), changed)
@@ -149,7 +154,12 @@
 		return
 	}
 	now, revision := n.now(), rattanwood.Revision(reply.GetRevision())
-	records := messenger.DecodeRecords(reply.GetRecords())
+	records, err := messenger.Decode(reply.GetRecords())
+	if err != nil {
+		n.refused["peer_record"]++
+		n.log.Warn("records not fetched", zap.String(logger.KeyPeer, string(a.VM)), zap.String(logger.KeyError, err.Error()))
+		return
+	}
 	var changed []rattanwood.Record
 	if reply.GetWhole() {
 		changed = n.copy.Replace(records, revision)
@@ -167,10 +177,23 @@
 func (n *Node) confirm(now time.Duration, c watcher.Confirmation) {
 	n.flows.Confirm(c.At)
 	if n.watch.Confirm(now, c) {
+		n.spread(now)
+	}
+}
+
+// spread lets the neighbours know of a confirmation soon, but not of each one where changes lead to
+// many; mu is held.
+func (n *Node) spread(now time.Duration) {
+	if now-n.spreadAt >= settings.Duration(n.cfg.Settings.Times.Apply)/spreadParts {
+		n.spreadAt = now
 		n.talk.Members.Hurry()
 	}
 }
 
+// spreadParts is the number of confirmations that are spread in the time in which a change must be in
+// force: twice those of a reader without changes.
+const spreadParts = 6
+
 // serveCalls serves the calls of other balancers.
 func (n *Node) serveCalls(ctx context.Context) error {
 	mux := drpcmux.New()
@@ -200,7 +223,7 @@
 	confirmed, ok := n.watch.Newest()
 	return &wire.SyncReply{
 		Revision: uint64(n.copy.At()), Whole: whole || r.GetAfter() == 0,
-		Records: messenger.EncodeRecords(records), Confirmed: messenger.EncodeAge(n.now()-confirmed.At, ok),
+		Records: n.talk.Packer.Encode(records), Confirmed: messenger.EncodeAge(n.now()-confirmed.At, ok),
 		Reader: uint64(confirmed.Reader), Confirmation: confirmed.Seq,
 	}, nil
 }
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -13,11 +13,14 @@
 )
 
 const (
-	// callSlack is the time that an answer may take beyond the wait that was asked for:
-	// twice that of a source which is sixty times slower than its usual 4 ms.
-	callSlack = 500 * time.Millisecond
+	// SourceStall is the time without a byte after which a call of the source is given up:
+	// twice what a source needs that is sixty times slower than its usual 4 ms.
+	SourceStall = 500 * time.Millisecond
+	// callSlack bounds an answer as a whole beyond the wait that was asked for: a megabyte takes as long on a link
+	// of 10 Mbit/s that is shared by two.
+	callSlack = 2 * time.Second
 	// gatherTime is the pause after a change, so that changes in quick succession cost one call.
-	gatherTime = 100 * time.Millisecond
+	gatherTime = 200 * time.Millisecond
 	// confirmSlack is how old an answer may be when it arrives.
 	confirmSlack = 250 * time.Millisecond
 	// pagesMost bounds a listing, against a source that always has more.
@@ -125,7 +128,7 @@
 func (n *Node) confirmRead(now, at time.Duration) {
 	n.watch.Read(now, at)
 	n.flows.Confirm(at)
-	n.talk.Members.Hurry()
+	n.spread(now)
 }
 
 func (n *Node) readFailed(ctx context.Context, err error) {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -89,6 +90,8 @@
 	From       rattanwood.VMID
 	DataCentre rattanwood.DataCentre
 	Knowledge
+	// Bad is set if the records could not be read.
+	Bad error
 }
 
 // Messenger is the state of one balancer's talk.
@@ -97,9 +100,13 @@
 	seed     uint64
 	Members  *detector.Detector
 	Limits   *limiter.Limiter
+	Packer   *Packer
 	actions  []Action
 	rostered time.Duration
-	synced   time.Duration
+	// full is when heartbeats last carried all that they can; those that only spread news are short.
+	full          time.Duration
+	failing, dead []rattanwood.UpstreamID
+	synced        time.Duration
 }
 
 // New returns a messenger that knows nobody.
@@ -109,6 +116,7 @@
 		seed:    ranker.Seed(string(cfg.Detector.Self)),
 		Members: detector.New(cfg.Detector),
 		Limits:  limiter.New(cfg.Limiter),
+		Packer:  NewPacker(),
 	}
 }
 
@@ -129,30 +137,37 @@
 		return
 	}
 	k := know()
-	common := m.encode(k)
+	common := m.encode(now, k)
 	for _, to := range beats {
 		beat := m.Members.Beat(now, to, detector.Knowledge{Version: rattanwood.Version(k.Revision), Leaving: k.Leaving, Blind: k.Blind})
 		beat.Confirmed, beat.Reader, beat.Confirmation = common.Confirmed, common.Reader, common.Confirmation
-		beat.Prior, beat.Records = common.Prior, common.Records
+		if to.Version < rattanwood.Version(k.Revision) {
+			// Whoever shows this revision has the records already.
+			beat.Prior, beat.Records = common.Prior, common.Records
+		}
 		beat.Loads, beat.Failing, beat.Dead = common.Loads, common.Failing, common.Dead
 		m.send(now, limiter.Liveness, to, &wire.Envelope{Body: &wire.Envelope_Beat{Beat: beat}})
 	}
 }
 
 // encode builds the part of a heartbeat that is the same for all receivers.
-func (m *Messenger) encode(k Knowledge) *wire.Beat {
+func (m *Messenger) encode(now time.Duration, k Knowledge) *wire.Beat {
 	beat := &wire.Beat{Confirmed: EncodeAge(k.Age, k.Confirmed), Reader: uint64(k.Reader), Confirmation: k.Seq}
-	size := 0
-	for _, r := range k.Records {
-		size += len(r.Key) + len(r.Value)
+	if records := m.Packer.Encode(k.Records); sizeOf(records) <= pushMost {
+		beat.Prior, beat.Records = uint64(k.Prior), records
 	}
-	if size <= pushMost {
-		beat.Prior, beat.Records = uint64(k.Prior), EncodeRecords(k.Records)
+	changed := !slices.Equal(k.Failing, m.failing) || !slices.Equal(k.Dead, m.dead)
+	full := now-m.full >= m.cfg.Detector.Beat
+	if full || changed {
+		beat.Failing, beat.Dead = encodeUpstreams(k.Failing), encodeUpstreams(k.Dead)
+		m.failing, m.dead = k.Failing, k.Dead
 	}
-	for _, l := range k.Loads {
-		beat.Loads = append(beat.Loads, &wire.Load{Upstream: uint32(l.Upstream), Work: uint32(l.Work * hundredths)})
+	if full {
+		m.full = now
+		for _, l := range k.Loads {
+			beat.Loads = append(beat.Loads, &wire.Load{Upstream: uint32(l.Upstream), Work: uint32(l.Work * hundredths)})
+		}
 	}
-	beat.Failing, beat.Dead = encodeUpstreams(k.Failing), encodeUpstreams(k.Dead)
 	return beat
 }
 
@@ -189,24 +204,6 @@
 	return time.Duration(min(ms-1, most)) * time.Millisecond, true
 }
 
-// EncodeRecords returns records as messages carry them.
-func EncodeRecords(records []rattanwood.Record) []*wire.Record {
-	out := make([]*wire.Record, len(records))
-	for i, r := range records {
-		out[i] = &wire.Record{Key: r.Key, Value: r.Value, Revision: uint64(r.Revision), Deleted: r.Deleted}
-	}
-	return out
-}
-
-// DecodeRecords returns the records of a message.
-func DecodeRecords(records []*wire.Record) []rattanwood.Record {
-	out := make([]rattanwood.Record, len(records))
-	for i, r := range records {
-		out[i] = rattanwood.Record{Key: r.GetKey(), Value: r.GetValue(), Revision: rattanwood.Revision(r.GetRevision()), Deleted: r.GetDeleted()}
-	}
-	return out
-}
-
 // send queues a datagram if the budget of its class allows it.
 func (m *Messenger) send(now time.Duration, class limiter.Class, to *detector.Member, e *wire.Envelope) {
 	e.Vm = string(m.cfg.Detector.Self)
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -248,3 +248,42 @@
 		c.Assert(got, qt.Equals, [centres]int{1, 1, 1})
 	}
 }
+
+// TestBusyFleetStaysWithinBudget answers releases and scale-outs on a large fleet. Heartbeats that the budget sheds would
+// keep confirmations from spreading, and everybody would begin to read.
+func TestBusyFleetStaysWithinBudget(t *testing.T) {
+	tests := map[string]struct {
+		pause time.Duration
+		// most is a node's traffic in bytes a second; a burst lives on what was saved up, and only must not shed.
+		most int
+	}{
+		// Six times the 14,000 changes a day of the target size.
+		"steady": {time.Second, 27 << 10},
+		"burst":  {100 * time.Millisecond, 256 << 10},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(c, 136)
+			f.run(15 * time.Second)
+			for _, n := range f.nodes {
+				n.bytes = 0
+			}
+			began := f.now
+			for i := range 60 {
+				// As long as a registration.
+				f.write(fmt.Sprintf("%0125d", i))
+				f.run(test.pause)
+			}
+			f.run(600 * time.Millisecond)
+			c.Assert(f.behind(), qt.HasLen, 0)
+			most, shed := 0, uint64(0)
+			for _, n := range f.nodes {
+				most, shed = max(most, int(float64(n.bytes)/(f.now-began).Seconds())), shed+n.talk.Limits.Shed(limiter.Liveness)
+			}
+			t.Logf("at most %d B/s", most)
+			c.Assert(shed, qt.Equals, uint64(0))
+			c.Assert(most < test.most, qt.IsTrue, qt.Commentf("%d B/s", most))
+		})
+	}
+}
--- /dev/null
+++ b/messenger/packer_test.go
@@ -0,0 +1,52 @@
+package messenger_test
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/messenger"
+	"example.org/rattanwood/wire"
+)
+
+func TestPackedRecords(t *testing.T) {
+	c := qt.New(t)
+	p := messenger.NewPacker()
+	large := bytes.Repeat([]byte(`{"hostname":"198.18.0.1","prefix":"/8443/"},`), 2000)
+	records := []rattanwood.Record{
+		{Key: "small", Value: []byte("v"), Revision: 1},
+		{Key: "large", Value: large, Revision: 2},
+		{Key: "gone", Revision: 3, Deleted: true},
+	}
+	for range 2 {
+		got := p.Encode(records)
+		c.Assert(len(got[1].GetPacked()) < len(large)/10, qt.IsTrue)
+		decoded, err := messenger.Decode(got)
+		c.Assert(err, qt.IsNil)
+		c.Assert(decoded, qt.DeepEquals, records)
+	}
+	records[1].Value, records[1].Revision = large[1:], 4
+	decoded, err := messenger.Decode(p.Encode(records))
+	c.Assert(err, qt.IsNil)
+	c.Assert(decoded, qt.DeepEquals, records, qt.Commentf("a newer revision isn't taken from what was kept"))
+}
+
+func TestBadRecordsOfPeers(t *testing.T) {
+	bomb := messenger.NewPacker().Encode([]rattanwood.Record{{Key: "bomb", Value: make([]byte, 2<<20), Revision: 1}})
+	tests := map[string]*wire.Record{
+		"not compressed": {Key: "k", Packed: []byte("plain text")},
+		"too large":      bomb[0],
+	}
+	for name, r := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := messenger.Decode([]*wire.Record{r})
+			var bad *messenger.RecordError
+			c.Assert(errors.As(err, &bad), qt.IsTrue)
+			c.Assert(bad.Key, qt.Equals, r.GetKey())
+		})
+	}
+}
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -50,7 +50,9 @@
 		m.send(now, limiter.State, sender, &wire.Envelope{Body: &wire.Envelope_Pull{Pull: &wire.Pull{Roster: true}}})
 	}
 	news := News{From: sender.VM, DataCentre: sender.DataCentre}
-	news.Prior, news.Records = rattanwood.Revision(beat.GetPrior()), DecodeRecords(beat.GetRecords())
+	news.Prior = rattanwood.Revision(beat.GetPrior())
+	// Records that can't be read are fetched, like those that are missing.
+	news.Records, news.Bad = Decode(beat.GetRecords())
 	news.Revision, news.Leaving, news.Blind = rattanwood.Revision(beat.GetVersion()), beat.GetLeaving(), beat.GetBlind()
 	news.Age, news.Confirmed = DecodeAge(beat.GetConfirmed())
 	news.Reader, news.Seq = watcher.Reader(beat.GetReader()), beat.GetConfirmation()
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -53,7 +53,8 @@
 	// LocalPeriod and RemotePeriod are the times between two checks of a duty. Dead upstreams that
 	// have traffic are found by hints before that.
 	LocalPeriod, RemotePeriod time.Duration
-	// RecheckPeriod is the time between two checks of an upstream that fails.
+	// RecheckPeriod is the time between two checks of an upstream that fails and is another
+	// balancer's duty.
 	RecheckPeriod time.Duration
 	// HintPause and RumourPause are the shortest times between two checks that own evidence, or what
 	// peers say, leads to.
@@ -67,7 +68,7 @@
 	return Config{
 		LocalPeriod:   time.Second,
 		RemotePeriod:  3 * time.Second,
-		RecheckPeriod: time.Second,
+		RecheckPeriod: 3 * time.Second,
 		// A Caller repeats a packet after 200 ms; the second repetition is no further evidence.
 		HintPause:   300 * time.Millisecond,
 		RumourPause: 2 * time.Second,
@@ -82,8 +83,8 @@
 	// upstream: two, because one connection can be lost.
 	failsToAvoid = 2
 	// silencesToDie is the number of silent checks in a row that prove an upstream unreachable
-	// from here, if its Callers repeat packets as well; a refusal needs only failsToAvoid, since
-	// a host sent it.
+	// from here, if its Callers repeat packets as well. Failing is enough with a refusal, since
+	// a host sent it, and with the proof of a near peer.
 	silencesToDie = 4
 )
 
@@ -93,8 +94,9 @@
 	running bool
 	hinted  bool
 	rumour  bool
-	// evidence is set while packets to the upstream are repeated and no check has been answered since.
-	evidence bool
+	// evidence is set while packets to the upstream are repeated and no check has been answered since,
+	// and proved while a near peer says that it is dead.
+	evidence, proved bool
 	// buried is set once the verdict that the upstream is dead has been returned.
 	buried  bool
 	checked time.Duration
@@ -127,7 +129,7 @@
 		p.rows[id] = &row{checked: now}
 		return
 	}
-	r.fails, r.refused, r.evidence, r.buried = 0, 0, false, false
+	r.fails, r.refused, r.evidence, r.proved, r.buried = 0, 0, false, false, false
 }
 
 // Remove ends the watch of an upstream.
@@ -140,11 +142,11 @@
 	}
 }
 
-// Rumour asks for a check, because a peer says that the upstream fails its checks. Evidence is set
-// if packets to it are repeated at a peer whose packets take the same ways as those of this balancer.
-func (p *Prober) Rumour(id rattanwood.UpstreamID, evidence bool) {
-	if r := p.rows[id]; r != nil && (!r.avoid() || evidence && !r.evidence) {
-		r.rumour, r.evidence = true, r.evidence || evidence
+// Rumour asks for a check, because a peer says that the upstream fails its checks. Proved is set if a peer
+// whose packets take the same ways as those of this balancer says that it is dead.
+func (p *Prober) Rumour(id rattanwood.UpstreamID, proved bool) {
+	if r := p.rows[id]; r != nil && (!r.avoid() || proved && !r.dead()) {
+		r.rumour, r.proved = true, r.proved || proved
 	}
 }
 
@@ -186,14 +188,14 @@
 func (p *Prober) due(now time.Duration, r *row, d Duty) bool {
 	age := now - r.checked
 	switch {
-	case r.fails > 0 && r.fails < silencesToDie && d != Absent:
+	case r.fails > 0 && !r.dead() && r.fails < silencesToDie && d != Absent:
 		// The verdict is near, and each moment costs the Callers of this upstream.
 		return true
 	case r.hinted && age >= p.cfg.HintPause, r.rumour && age >= p.cfg.RumourPause:
 		return true
 	case d == Absent:
 		return false
-	case r.fails > 0:
+	case r.fails > 0 && d == Watched:
 		return age >= p.cfg.RecheckPeriod
 	case d == Local:
 		return age >= p.cfg.LocalPeriod
@@ -245,7 +247,7 @@
 	avoided := r.avoid()
 	switch o {
 	case Answered:
-		r.fails, r.refused, r.evidence, r.buried, r.answered = 0, 0, false, false, max(began, 1)
+		r.fails, r.refused, r.evidence, r.proved, r.buried, r.answered = 0, 0, false, false, false, max(began, 1)
 	case Refused:
 		r.fails++
 		r.refused++
@@ -261,7 +263,9 @@
 
 func (r *row) avoid() bool { return r.fails >= failsToAvoid }
 
-func (r *row) dead() bool { return r.refused >= failsToAvoid || r.fails >= silencesToDie && r.evidence }
+func (r *row) dead() bool {
+	return r.refused >= failsToAvoid || r.fails >= silencesToDie && r.evidence || r.avoid() && r.proved
+}
 
 // Avoid reports whether new flows should go elsewhere.
 func (p *Prober) Avoid(id rattanwood.UpstreamID) bool {
