Avoid upstreams that a near peer finds failing, until the own check says otherwise

Change: a near peer's word turns new flows away for up to 2.5 s; the own check ends that. Test: TestRumours.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -99,7 +99,7 @@
 	}
 	near := string(news.DataCentre) == n.cfg.Settings.Centre
 	for _, id := range news.Failing {
-		n.checks.Rumour(id, near && slices.Contains(news.Dead, id))
+		n.checks.Hear(now, id, prober.Rumour{Near: near, Dead: slices.Contains(news.Dead, id)})
 	}
 }
 
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -59,6 +59,8 @@
 	// HintPause and RumourPause are the shortest times between two checks that own evidence, or what
 	// peers say, leads to.
 	HintPause, RumourPause time.Duration
+	// RumourKeep is how long new flows avoid an upstream after a near peer said that it fails.
+	RumourKeep time.Duration
 	// Rate and Burst bound the checks: a second's, and those that may be saved up.
 	Rate, Burst int
 }
@@ -72,6 +74,8 @@
 		// A Caller repeats a packet after 200 ms; the second repetition is no further evidence.
 		HintPause:   300 * time.Millisecond,
 		RumourPause: 2 * time.Second,
+		// Two full heartbeats may be lost.
+		RumourKeep: 2500 * time.Millisecond,
 		// A whole service of 40 upstreams can be checked at once; in the long run a node opens as
 		// few connections as two Callers do.
 		Rate: 5, Burst: 40,
@@ -100,6 +104,8 @@
 	// buried is set once the verdict that the upstream is dead has been returned.
 	buried  bool
 	checked time.Duration
+	// rumoured is when a near peer last said that the upstream fails, and since is when that began.
+	rumoured, since time.Duration
 	// answered is when the last check that was answered began.
 	answered time.Duration
 }
@@ -142,12 +148,32 @@
 	}
 }
 
-// Rumour asks for a check, because a peer says that the upstream fails its checks. Proved is set if a peer
-// whose packets take the same ways as those of this balancer says that it is dead.
-func (p *Prober) Rumour(id rattanwood.UpstreamID, proved bool) {
-	if r := p.rows[id]; r != nil && (!r.avoid() || proved && !r.dead()) {
+// Rumour is what a peer says of an upstream that fails its checks.
+type Rumour struct {
+	// Near is set if the peer's packets take the same ways as those of this balancer.
+	Near bool
+	// Dead is set if the peer has proof that the upstream is dead.
+	Dead bool
+}
+
+// Hear takes in a rumour and asks for a check. Until the upstream answers that, new flows avoid it if a near
+// peer says so: where many upstreams die at once, checking them all takes each balancer long.
+func (p *Prober) Hear(now time.Duration, id rattanwood.UpstreamID, rumour Rumour) {
+	r := p.rows[id]
+	if r == nil {
+		return
+	}
+	proved := rumour.Near && rumour.Dead
+	if !r.avoid() || proved && !r.dead() {
 		r.rumour, r.proved = true, r.proved || proved
 	}
+	if !rumour.Near {
+		return
+	}
+	if r.rumoured == 0 || now-r.rumoured > p.cfg.RumourKeep {
+		r.since = now
+	}
+	r.rumoured = now
 }
 
 // Check is an upstream to check.
@@ -268,9 +294,13 @@
 }
 
 // Avoid reports whether new flows should go elsewhere.
-func (p *Prober) Avoid(id rattanwood.UpstreamID) bool {
+func (p *Prober) Avoid(now time.Duration, id rattanwood.UpstreamID) bool {
 	r := p.rows[id]
-	return r != nil && r.avoid()
+	if r == nil {
+		return false
+	}
+	rumoured := r.rumoured != 0 && now-r.rumoured <= p.cfg.RumourKeep && r.answered < r.since
+	return r.avoid() || rumoured
 }
 
 // Dead reports whether the flows of an upstream can't go on from here.
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -113,7 +113,7 @@
 			c.Assert(!ok || died-crash <= test.dead, qt.IsTrue, qt.Commentf("dead after %v", died-crash))
 			w.see = func(time.Duration, prober.Check) prober.Outcome { return prober.Answered }
 			w.run(crash + 7*time.Second)
-			c.Assert(w.p.Avoid(3), qt.IsFalse)
+			c.Assert(w.p.Avoid(w.now, 3), qt.IsFalse)
 		})
 	}
 }
@@ -166,7 +166,7 @@
 		"rumours about all": func(w *world) {
 			w.duty = prober.Watched
 			for id := range w.n {
-				w.p.Rumour(rattanwood.UpstreamID(id+1), true)
+				w.p.Hear(w.now, rattanwood.UpstreamID(id+1), prober.Rumour{Near: true, Dead: true})
 				w.p.Hint(rattanwood.UpstreamID(id + 1))
 			}
 		},
@@ -205,3 +205,39 @@
 	c.Assert(w.died[3] <= 5400*time.Millisecond, qt.IsTrue)
 	c.Assert(w.p.Dead(3), qt.IsTrue, qt.Commentf("connections that are accepted don't make it well again"))
 }
+
+// TestRumours answers many upstreams that die at once, and a peer that is wrong about one.
+func TestRumours(t *testing.T) {
+	near := prober.Rumour{Near: true}
+	tests := map[string]struct {
+		rumour prober.Rumour
+		// sees is whether this balancer can check the upstream, and what it finds.
+		sees prober.Outcome
+		// soon and later are whether new flows avoid it at once, and a second later.
+		soon, later bool
+	}{
+		"a near peer is right":        {near, prober.Refused, true, true},
+		"a near peer is wrong":        {near, prober.Answered, true, false},
+		"a peer elsewhere is cut off": {prober.Rumour{}, prober.Answered, false, false},
+		"this node is held up":        {near, prober.Unclear, true, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(5)
+			w.duty = prober.Watched
+			w.run(5 * time.Second)
+			w.see = func(time.Duration, prober.Check) prober.Outcome { return test.sees }
+			w.p.Hear(w.now, 3, test.rumour)
+			c.Assert(w.p.Avoid(w.now, 3), qt.Equals, test.soon)
+			w.run(w.now + time.Second)
+			c.Assert(w.p.Avoid(w.now, 3), qt.Equals, test.later)
+			own, _ := w.p.Failing()
+			c.Assert(len(own) > 0, qt.Equals, test.sees == prober.Refused, qt.Commentf("a rumour isn't passed on"))
+			if test.sees == prober.Unclear {
+				w.run(w.now + 2*time.Second)
+				c.Assert(w.p.Avoid(w.now, 3), qt.IsFalse, qt.Commentf("rumours end"))
+			}
+		})
+	}
+}
--- a/tagger/dump.go
+++ b/tagger/dump.go
@@ -47,7 +47,7 @@
 	for id, u := range t.upstreams {
 		rows = append(rows, UpstreamRow{
 			ID: id.String(), Service: u.Service, Address: u.Address.String(), Centre: u.DataCentre, Present: u.present, Draining: u.Draining,
-			Avoid: t.cfg.Prober.Avoid(id), Dead: t.cfg.Prober.Dead(id), Load: t.cfg.Placer.Load(now, id),
+			Avoid: t.cfg.Prober.Avoid(now, id), Dead: t.cfg.Prober.Dead(id), Load: t.cfg.Placer.Load(now, id),
 		})
 	}
 	slices.SortFunc(rows, func(a, b UpstreamRow) int { return cmp.Compare(a.ID, b.ID) })
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -36,7 +36,7 @@
 	r := t.recent[keyOf(s)]
 	if r != nil && r.opening {
 		t.cfg.Prober.Hint(r.upstream)
-		if u := t.upstreams[r.upstream]; u != nil && !t.cfg.Prober.Avoid(r.upstream) {
+		if u := t.upstreams[r.upstream]; u != nil && !t.cfg.Prober.Avoid(now, r.upstream) {
 			r.at = now
 			return forward(u, Repeated)
 		}
