Judge the soak's timed promises by the balancers that got the packets

Cause: mutants (drain ignored, routes never replaced, reset on any repetition) passed: a timed promise counted only while every balancer was calm, which a dense schedule never allows; nothing was lost on calm links. Change: the router records who got a flow's first packets; 0.5 percent of the packets are lost; draining upstreams live on for twice the bound.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 # network 127.N, for several side by side.
 NETWORK ?= 60
 soak-processes: build
-	$(BIN)/standin soak --bin $(BIN)/rattanwood --seed $(SEED) --seeds $(SEEDS) --slot $(NETWORK)
+	$(BIN)/standin soak --bin $(BIN)/rattanwood --seed $(SEED) --seeds $(SEEDS) --slot $(NETWORK) --again
 
 # A short fuzz of each decoder at a border.
 FUZZ_TIME ?= 10s
--- a/standins/soaker/caller.go
+++ b/standins/soaker/caller.go
@@ -120,8 +120,7 @@
 func (c *client) open(ctx context.Context, address string) *flow {
 	c.port++
 	f := &flow{c: c, ends: flowEnds{caller: netip.AddrPortFrom(c.ip, c.port), target: netip.MustParseAddrPort(address)}, seq: c.random.Uint32()}
-	began := time.Now()
-	c.w.opened(f.ends, began)
+	c.w.opened(f.ends, time.Now())
 	for copies, wait := uint32(0), firstWait; copies < 3 && ctx.Err() == nil; copies, wait = copies+1, 2*wait {
 		f.send(packet{flags: bitOpen, seq: f.seq, ack: copies})
 		a, ok := f.wait(wait, func(a arrival) bool { return a.flags&(bitOpen|bitReset) != 0 })
@@ -129,7 +128,7 @@
 			continue
 		}
 		if a.flags&bitReset != 0 {
-			c.w.checkRefusal(f.ends, began)
+			c.w.checkRefusal(f.ends)
 			return nil
 		}
 		f.seq, f.ack = f.seq+1, a.seq+1
--- /dev/null
+++ b/standins/soaker/regressions.go
@@ -0,0 +1,14 @@
+package soaker
+
+// regression is a seed that once saw a promise broken. The schedule of a seed is fixed, the timing of
+// processes is not, so that a cause also has a test without processes.
+type regression struct {
+	seed uint64
+	// cause says what was wrong, and names the test.
+	cause string
+}
+
+// regressions are played first by each run.
+var regressions = []regression{
+	{44, "a paused node opened flows from its buffer whose copies had opened elsewhere: tagger TestWakingNodeOpensNothing"},
+}
--- a/standins/soaker/router.go
+++ b/standins/soaker/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,9 +14,13 @@
 // probePeriod is the time between two questions whether a balancer is ready.
 const probePeriod = 500 * time.Millisecond
 
+// lossShare is the part of the packets from and to Callers that is lost for no reason.
+const lossShare = 0.005
+
 // router stands in for the platform's routers: it hashes flows over the balancers in rotation, by
 // modulo, so that most flows move whenever that changes.
 type router struct {
+	w     *world
 	mu    sync.Mutex
 	nodes []*target
 	conn  *net.UDPConn
@@ -26,12 +31,12 @@
 	misses int
 }
 
-func newRouter(ips []string) (*router, error) {
+func newRouter(w *world, ips []string) (*router, error) {
 	conn, err := net.ListenUDP("udp4", nil)
 	if err != nil {
 		return nil, err
 	}
-	r := &router{conn: conn}
+	r := &router{w: w, conn: conn}
 	for _, ip := range ips {
 		r.nodes = append(r.nodes, &target{ip: ip, misses: 2})
 	}
@@ -93,5 +98,11 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(p.from.String() + p.to.String()))
 	t := ready[int(h.Sum32()%uint32(len(ready)))]
+	if p.flags&bitOpen != 0 {
+		r.w.routed(flowEnds{caller: p.from, target: p.to}, t.ip)
+	}
+	if rand.Float64() < lossShare {
+		return
+	}
 	_, _ = r.conn.WriteToUDPAddrPort(p.encode(), netip.AddrPortFrom(netip.MustParseAddr(t.ip), tunnelPort))
 }
--- a/standins/soaker/schedule.go
+++ b/standins/soaker/schedule.go
@@ -162,7 +162,7 @@
 func (s *soak) drawDrain() (event, bool) {
 	return s.onUpstream("drain", true, func(ctx context.Context, b *back) {
 		b.drain()
-		pauseFor(ctx, applyTime+time.Second)
+		pauseFor(ctx, 2*applyTime)
 		s.fault(b.name(), time.Hour)
 		b.end()
 		s.store.put("servers/"+b.name(), "")
@@ -180,7 +180,7 @@
 }
 
 func (s *soak) drawRoute() (event, bool) {
-	service, d := "", s.span(200, 4000)
+	service, d := "", s.span(200, 7000)
 	if s.random.IntN(2) == 0 {
 		service = serviceSwap
 	}
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -30,6 +30,7 @@
 	Nodes   int    `help:"Number of balancers." default:"6"`
 	Callers int    `help:"Number of Callers." default:"24"`
 	Slot    int    `help:"Loopback network 127.N, so that several soaks can run side by side." default:"60"`
+	Again   bool   `help:"Play the seeds that once failed first."`
 	Keep    bool   `help:"Keep the logs of soaks that pass as well."`
 }
 
@@ -57,10 +58,19 @@
 	if err != nil {
 		return err
 	}
-	var broken []uint64
+	var seeds, broken []uint64
+	if c.Again {
+		for _, r := range regressions {
+			fmt.Printf("seed %d is played again: %s\n", r.seed, r.cause)
+			seeds = append(seeds, r.seed)
+		}
+	}
 	for i := range c.Seeds {
+		seeds = append(seeds, c.Seed+uint64(i))
+	}
+	for _, seed := range seeds {
 		cfg := *c
-		cfg.Bin, cfg.Seed = bin, c.Seed+uint64(i)
+		cfg.Bin, cfg.Seed = bin, seed
 		ok, err := play(ctx, cfg)
 		if err != nil {
 			return err
@@ -120,7 +130,7 @@
 	s := &soak{
 		world: &world{
 			cfg: cfg, began: time.Now(), faults: map[string]time.Time{}, routes: map[string][]binding{},
-			openings: map[flowEnds]time.Time{}, runs: map[string]int{},
+			openings: map[flowEnds]*opening{}, runs: map[string]int{},
 		},
 		random: rand.New(rand.NewPCG(cfg.Seed, 0)), processes: &launcher.Launcher{Dir: dir}, services: map[string][]*back{},
 		next: 0xab00000000, routesNow: map[string]string{},
@@ -175,7 +185,7 @@
 	for i := range s.cfg.Nodes {
 		ips = append(ips, s.ip(40, i+1))
 	}
-	if s.router, err = newRouter(ips); err != nil {
+	if s.router, err = newRouter(s.world, ips); err != nil {
 		return err
 	}
 	for range 6 {
@@ -270,7 +280,7 @@
 }
 
 // harm records a fault of a balancer that lasts for d.
-func (s *soak) harm(n *nodeProcess, d time.Duration) { s.fault("node "+n.ip, d) }
+func (s *soak) harm(n *nodeProcess, d time.Duration) { s.fault(nodePrefix+n.ip, d) }
 
 // kill ends a balancer at once and starts it again after d.
 func (s *soak) kill(ctx context.Context, n *nodeProcess, d time.Duration) error {
--- a/standins/soaker/upstream.go
+++ b/standins/soaker/upstream.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -153,10 +154,12 @@
 		b.reply(key, packet{flags: bitOpen | bitAck, seq: uint32(b.id), ack: p.seq + 1, echo: p.echo})
 	case f != nil && !f.open && p.ack != uint32(b.id)+1:
 		// The Caller has opened the flow at another upstream.
-		b.w.checkStray(b, key)
+		// It asks the other upstreams, one of which may be doing the same.
+		go b.w.checkStray(b, key)
 		b.reply(key, packet{flags: bitReset, seq: p.ack, echo: p.echo})
 	case f == nil || f.closed:
-		b.w.checkStray(b, key)
+		// It asks the other upstreams, one of which may be doing the same.
+		go b.w.checkStray(b, key)
 		b.reply(key, packet{flags: bitReset, seq: p.ack, echo: p.echo})
 	default:
 		f.open, f.echo = true, p.echo
@@ -191,6 +194,9 @@
 // reply sends a packet straight to the Caller.
 func (b *back) reply(key flowEnds, p packet) {
 	p.from, p.to, p.signed = key.target, key.caller, true
+	if rand.Float64() < lossShare {
+		return
+	}
 	_, _ = b.udp.WriteToUDPAddrPort(p.encode(), netip.AddrPortFrom(key.caller.Addr(), tunnelPort))
 }
 
--- a/standins/soaker/world.go
+++ b/standins/soaker/world.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"strings"
 	"sync"
 	"time"
 )
@@ -42,7 +41,7 @@
 	// routes are the service of each address and since when.
 	routes map[string][]binding
 	// openings are when Callers began flows.
-	openings map[flowEnds]time.Time
+	openings map[flowEnds]*opening
 	runs     map[string]int
 	broken   []string
 	events   []string
@@ -55,6 +54,12 @@
 	began    time.Time
 }
 
+// opening is when a Caller began a flow, and the balancers that got its first packets.
+type opening struct {
+	at    time.Time
+	nodes []string
+}
+
 type binding struct {
 	service string
 	since   time.Time
@@ -99,27 +104,33 @@
 	return true
 }
 
-// anyCalm reports whether all names with a prefix are calm.
-func (w *world) anyCalm(at time.Time, prefix string) bool {
-	for n := range w.faults {
-		if strings.HasPrefix(n, prefix) && !w.calm(at, n) {
-			return false
-		}
-	}
-	return true
+func (w *world) opened(key flowEnds, at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.openings[key] = &opening{at: at}
 }
 
-func (w *world) opened(key flowEnds, at time.Time) {
+// routed records the balancer that gets a first packet.
+func (w *world) routed(key flowEnds, ip string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.openings[key] = at
+	if o := w.openings[key]; o != nil {
+		o.nodes = append(o.nodes, nodePrefix+ip)
+	}
 }
 
+// nodePrefix begins the names of balancers among the faults.
+const nodePrefix = "node "
+
 // checkOpening judges a first packet that has reached an upstream.
 func (w *world) checkOpening(b *back, key flowEnds, draining time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now, sent := time.Now(), w.openings[key]
+	now, o := time.Now(), w.openings[key]
+	if o == nil {
+		w.report("an upstream got a flow that no Caller began", key)
+		return
+	}
 	ever := false
 	for _, r := range w.routes[key.target.String()] {
 		ever = ever || r.service == b.service
@@ -127,12 +138,11 @@
 	if !ever {
 		w.report("a flow reached a service that its address never led to", key)
 	}
-	// Any balancer may have forwarded this, so that all must be in touch.
-	inTouch := w.calm(now, "store") && w.anyCalm(now, "node")
-	if inTouch && !draining.IsZero() && sent.After(draining.Add(applyTime)) {
+	inTouch := w.calm(now, append(o.nodes, "store")...)
+	if inTouch && !draining.IsZero() && o.at.After(draining.Add(applyTime)) {
 		w.report("a draining upstream got a new flow", b.name())
 	}
-	if bound, since := w.boundAt(key.target.String()); inTouch && bound != b.service && sent.After(since.Add(applyTime)) {
+	if bound, since := w.boundAt(key.target.String()); inTouch && bound != b.service && o.at.After(since.Add(applyTime)) {
 		w.report("a new flow went by a route that was changed", key)
 	}
 }
@@ -145,12 +155,13 @@
 }
 
 // checkRefusal judges a reset that answered a first packet.
-func (w *world) checkRefusal(key flowEnds, sent time.Time) {
+func (w *world) checkRefusal(key flowEnds) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	service, since := w.boundAt(key.target.String())
-	inTouch := w.calm(time.Now(), "store") && w.anyCalm(time.Now(), "")
-	if inTouch && service != "" && sent.After(since.Add(applyTime)) {
+	o := w.openings[key]
+	inTouch := w.calm(time.Now(), append(o.nodes, "store")...)
+	if inTouch && service != "" && o.at.After(since.Add(applyTime)) {
 		w.report("a new flow was refused though its route is there", key)
 	}
 }
@@ -181,7 +192,7 @@
 			continue
 		}
 		w.mu.Lock()
-		if !w.dropped(key) && w.calm(time.Now(), b.name(), "node "+from.Addr().String()) {
+		if !w.dropped(key) && w.calm(time.Now(), b.name(), nodePrefix+from.Addr().String()) {
 			w.report("a balancer reset an open flow of a living upstream", fmt.Sprint(key, " by ", from))
 		}
 		w.mu.Unlock()
@@ -192,7 +203,7 @@
 func (w *world) dropped(key flowEnds) bool {
 	all := w.routes[key.target.String()]
 	for i, b := range all {
-		ended := i+1 < len(all) && all[i+1].since.Add(applyTime).Before(w.openings[key])
+		ended := i+1 < len(all) && all[i+1].since.Add(applyTime).Before(w.openings[key].at)
 		if b.service == "" && !ended {
 			return true
 		}
