Open and serve the sockets of both kinds of balancer in one place

Cause: internal/node had copies of what internal/server does to listen, close, serve HTTP and calls, and pause. Change: internal/listener; the console uses it too. Behaviour stays, but a listener that is closed twice is no error anywhere. Checks: unit tests and linter of both modules pass.

--- a/internal/cli/console.go
+++ b/internal/cli/console.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"strings"
@@ -12,21 +12,18 @@
 	"time"
 
 	"github.com/samber/oops"
-	"golang.org/x/sync/errgroup"
 
 	"example.org/rattanwood"
 	"example.org/rattanwood/checker"
 	"example.org/rattanwood/editor"
 	"example.org/rattanwood/internal/console"
+	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
 	"example.org/rattanwood/internal/reader"
 )
 
-// Deadlines of the console's server.
-const (
-	consoleHeaderDeadline = 5 * time.Second
-	consoleStopDeadline   = 5 * time.Second
-)
+// consoleStopDeadline bounds the wait for requests under way when the console ends.
+const consoleStopDeadline = 5 * time.Second
 
 // consoleCommands is the command line of rattanctl.
 type consoleCommands struct {
@@ -53,25 +50,20 @@
 	if err != nil {
 		return err
 	}
+	address, err := netip.ParseAddrPort(c.Listen)
+	if err != nil {
+		return oops.Code("console_listen").Wrap(err)
+	}
+	lis, err := listener.TCP(address)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	handler := console.New(console.Config{Platform: reader.New(c.Platform)}).Handler()
-	srv := &http.Server{Addr: c.Listen, Handler: handler, ReadHeaderTimeout: consoleHeaderDeadline}
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-			return oops.Code("console_listen").Wrap(err)
-		}
-		return nil
-	})
-	group.Go(func() error {
-		<-ctx.Done()
-		stopping, cancel := context.WithTimeout(context.Background(), consoleStopDeadline)
-		defer cancel()
-		return srv.Shutdown(stopping)
-	})
 	log.Info("serving")
-	return group.Wait()
+	handler := console.New(console.Config{Platform: reader.New(c.Platform)}).Handler()
+	err = listener.ServeHTTP(ctx, lis, handler, consoleStopDeadline)
+	return errors.Join(err, log.Sync())
 }
 
 type documentCommand struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,13 +14,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/samber/oops"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"example.org/rattanwood"
 	"example.org/rattanwood/detector"
 	"example.org/rattanwood/internal/dialer"
+	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
 	"example.org/rattanwood/internal/settings"
 	"example.org/rattanwood/limiter"
@@ -164,37 +164,19 @@
 func (n *Node) listen() error {
 	set := n.cfg.Settings
 	var err error
-	if n.tunnel, err = listenUDP(set.TunnelAddress()); err != nil {
+	if n.tunnel, err = listener.UDP(set.TunnelAddress(), receiveBuffer); err != nil {
 		return err
 	}
-	if n.peerUDP, err = listenUDP(set.PeerAddress()); err != nil {
+	if n.peerUDP, err = listener.UDP(set.PeerAddress(), receiveBuffer); err != nil {
 		return err
 	}
-	if n.peerTCP, err = listenTCP(set.PeerAddress()); err != nil {
+	if n.peerTCP, err = listener.TCP(set.PeerAddress()); err != nil {
 		return err
 	}
-	n.web, err = listenTCP(set.WebAddress())
+	n.web, err = listener.TCP(set.WebAddress())
 	return err
 }
 
-func listenUDP(address netip.AddrPort) (*net.UDPConn, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		return nil, oops.Code("listen").With("address", address.String()).Wrap(err)
-	}
-	// A smaller buffer than asked for is what the system allows, and no reason not to serve.
-	_ = conn.SetReadBuffer(receiveBuffer)
-	return conn, nil
-}
-
-func listenTCP(address netip.AddrPort) (net.Listener, error) {
-	lis, err := net.Listen("tcp4", address.String())
-	if err != nil {
-		return nil, oops.Code("listen").With("address", address.String()).Wrap(err)
-	}
-	return lis, nil
-}
-
 // Run serves until stop is done, then shuts down gracefully, and returns when all tasks have ended.
 func (n *Node) Run(stop context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -251,7 +233,7 @@
 	most := time.Duration(n.cfg.Settings.Times.Grace * graceShare * float64(time.Second))
 	seen, quiet := n.packets.Load(), begin
 	for time.Since(begin) < most {
-		pause(ctx, tickPeriod)
+		listener.Pause(ctx, tickPeriod)
 		if now := n.packets.Load(); now != seen {
 			seen, quiet = now, time.Now()
 		}
@@ -264,16 +246,7 @@
 
 func (n *Node) close() {
 	n.peers.Close()
-	for _, c := range []*net.UDPConn{n.tunnel, n.peerUDP} {
-		if c != nil {
-			_ = c.Close()
-		}
-	}
-	for _, lis := range []net.Listener{n.peerTCP, n.web} {
-		if lis != nil {
-			_ = lis.Close()
-		}
-	}
+	listener.Close([]*net.UDPConn{n.tunnel, n.peerUDP}, []net.Listener{n.peerTCP, n.web})
 }
 
 // now returns the time since the process began.
@@ -310,19 +283,3 @@
 		n.startChecks(ctx, now, due)
 	}
 }
-
-// closed turns the error of a socket that was closed on purpose into nil.
-func closed(ctx context.Context, err error) error {
-	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return oops.Code("socket").Wrap(err)
-}
-
-// pause sleeps, or returns early when ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/node/packets.go
+++ b/internal/node/packets.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"example.org/rattanwood"
+	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
 	"example.org/rattanwood/tagger"
 )
@@ -29,7 +30,7 @@
 	for {
 		size, _, err := n.tunnel.ReadFromUDPAddrPort(in)
 		if err != nil {
-			return closed(ctx, err)
+			return listener.Closed(ctx, err)
 		}
 		began := time.Now()
 		n.packets.Add(1)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -11,9 +11,9 @@
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 
 	"example.org/rattanwood"
+	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
 	"example.org/rattanwood/internal/settings"
 	"example.org/rattanwood/messenger"
@@ -49,7 +49,7 @@
 	for {
 		size, from, err := n.peerUDP.ReadFromUDPAddrPort(buf)
 		if err != nil {
-			return closed(ctx, err)
+			return listener.Closed(ctx, err)
 		}
 		e := &wire.Envelope{}
 		if err := proto.Unmarshal(buf[:size], e); err != nil {
@@ -200,10 +200,7 @@
 	if err := wire.DRPCRegisterCopy(mux, &calls{node: n}); err != nil {
 		return oops.Code("peer_register").Wrap(err)
 	}
-	if err := drpcserver.New(mux).Serve(ctx, n.peerTCP); err != nil {
-		return closed(ctx, err)
-	}
-	return nil
+	return listener.ServeCalls(ctx, n.peerTCP, mux)
 }
 
 // calls implements the service by which balancers copy records.
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"example.org/rattanwood"
+	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
 	"example.org/rattanwood/internal/settings"
 )
@@ -36,7 +37,7 @@
 		n.mu.Unlock()
 		switch {
 		case !due:
-			pause(ctx, tickPeriod)
+			listener.Pause(ctx, tickPeriod)
 		case whole:
 			n.readChanges(ctx)
 		default:
@@ -120,7 +121,7 @@
 	n.confirmRead(now, max(began, now-confirmSlack))
 	n.mu.Unlock()
 	if len(changes.Records) > 0 {
-		pause(ctx, gatherTime)
+		listener.Pause(ctx, gatherTime)
 	}
 }
 
--- a/internal/node/web.go
+++ b/internal/node/web.go
@@ -2,24 +2,19 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
-	"github.com/samber/oops"
 	goahttp "goa.design/goa/v3/http"
 
 	operatorsserver "example.org/rattanwood/gen/http/operators/server"
 	genoperators "example.org/rattanwood/gen/operators"
+	"example.org/rattanwood/internal/listener"
 )
 
-// Deadlines of the web server.
-const (
-	headerDeadline = 5 * time.Second
-	closeDeadline  = time.Second
-)
+// closeDeadline bounds the wait for requests under way when the web server ends.
+const closeDeadline = time.Second
 
 // handler returns the routes of the web server.
 func (n *Node) handler() http.Handler {
@@ -33,23 +28,7 @@
 
 // serveWeb serves the operators' pages and the fabric's question whether this balancer is ready.
 func (n *Node) serveWeb(ctx context.Context) error {
-	srv := &http.Server{Handler: n.handler(), ReadHeaderTimeout: headerDeadline}
-	done := make(chan error, 1)
-	go func() { done <- srv.Serve(n.web) }()
-	select {
-	case err := <-done:
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return closed(ctx, err)
-	case <-ctx.Done():
-	}
-	closing, cancel := context.WithTimeout(context.Background(), closeDeadline)
-	defer cancel()
-	if err := srv.Shutdown(closing); err != nil && !errors.Is(err, net.ErrClosed) {
-		return oops.Code("web_close").Wrap(err)
-	}
-	return nil
+	return listener.ServeHTTP(ctx, n.web, n.handler(), closeDeadline)
 }
 
 // operators implements the operators service.
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/netip"
 	"time"
 
@@ -12,11 +11,11 @@
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 
 	"example.org/rattanwood"
 	"example.org/rattanwood/balancer"
 	"example.org/rattanwood/claimer"
+	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
 	"example.org/rattanwood/wire"
 )
@@ -33,20 +32,12 @@
 	for {
 		n, from, err := s.peerUDP.ReadFromUDPAddrPort(buf)
 		if err != nil {
-			return closedSocket(ctx, err)
+			return listener.Closed(ctx, err)
 		}
 		s.datagram(ctx, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buf[:n])
 	}
 }
 
-// closedSocket turns the error of a socket that was closed into nil.
-func closedSocket(ctx context.Context, err error) error {
-	if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return oops.Code("socket").Wrap(err)
-}
-
 func (s *Server) datagram(ctx context.Context, from netip.AddrPort, data []byte) {
 	e := &wire.Envelope{}
 	if err := proto.Unmarshal(data, e); err != nil {
@@ -113,11 +104,7 @@
 	if err := wire.DRPCRegisterPeer(mux, &calls{server: s}); err != nil {
 		return oops.Code("peer_register").Wrap(err)
 	}
-	err := drpcserver.New(mux).Serve(ctx, s.peerTCP)
-	if err != nil {
-		return closedSocket(ctx, err)
-	}
-	return nil
+	return listener.ServeCalls(ctx, s.peerTCP, mux)
 }
 
 // calls implements the service that balancers offer to each other.
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"example.org/rattanwood"
+	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
 	"example.org/rattanwood/internal/settings"
 	"example.org/rattanwood/marker"
@@ -49,7 +50,7 @@
 	fails := 0
 	for ctx.Err() == nil {
 		if !s.reader() {
-			pause(ctx, idlePause)
+			listener.Pause(ctx, idlePause)
 			continue
 		}
 		if s.watch(ctx) {
@@ -58,7 +59,7 @@
 		}
 		fails++
 		full := min(failLeast<<min(fails, 10), failMost)
-		pause(ctx, full/2+rand.N(full/2))
+		listener.Pause(ctx, full/2+rand.N(full/2))
 	}
 	return nil
 }
@@ -95,7 +96,7 @@
 		return false
 	}
 	if c := s.newest(); c != nil && c.Version <= after {
-		pause(ctx, staleShort)
+		listener.Pause(ctx, staleShort)
 	}
 	return true
 }
@@ -104,7 +105,7 @@
 func (s *Server) listLoop(ctx context.Context) error {
 	period := settings.Duration(s.cfg.Settings.Times.List)
 	for ctx.Err() == nil {
-		pause(ctx, period/2+rand.N(period))
+		listener.Pause(ctx, period/2+rand.N(period))
 		s.readList(ctx)
 	}
 	return nil
@@ -127,14 +128,6 @@
 	s.mu.Unlock()
 }
 
-// pause sleeps, or returns early when ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // probeFailures is the number of failed probes in a row that mark an upstream down.
 const probeFailures = 3
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -7,12 +7,10 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/samber/oops"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -24,6 +22,7 @@
 	"example.org/rattanwood/dispatcher"
 	"example.org/rattanwood/executor"
 	"example.org/rattanwood/internal/dialer"
+	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
 	"example.org/rattanwood/internal/reader"
 	"example.org/rattanwood/internal/settings"
@@ -143,37 +142,20 @@
 func (s *Server) listen() error {
 	set := s.cfg.Settings
 	var err error
-	if s.tunnel, err = listenUDP(set.TunnelAddress()); err != nil {
+	if s.tunnel, err = listener.UDP(set.TunnelAddress(), receiveBuffer); err != nil {
 		return err
 	}
 	peer := set.PeerAddress()
-	if s.peerUDP, err = listenUDP(peer); err != nil {
+	if s.peerUDP, err = listener.UDP(peer, receiveBuffer); err != nil {
 		return err
 	}
-	if s.peerTCP, err = listenTCP(peer); err != nil {
+	if s.peerTCP, err = listener.TCP(peer); err != nil {
 		return err
 	}
-	s.web, err = listenTCP(set.WebAddress())
+	s.web, err = listener.TCP(set.WebAddress())
 	return err
 }
 
-func listenUDP(address netip.AddrPort) (*net.UDPConn, error) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		return nil, oops.Code("listen").With("address", address.String()).Wrap(err)
-	}
-	_ = conn.SetReadBuffer(receiveBuffer)
-	return conn, nil
-}
-
-func listenTCP(address netip.AddrPort) (net.Listener, error) {
-	lis, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return nil, oops.Code("listen").With("address", address.String()).Wrap(err)
-	}
-	return lis, nil
-}
-
 // Run serves until stop is done, then shuts down gracefully, and returns when all tasks have ended.
 func (s *Server) Run(stop context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -238,16 +220,7 @@
 
 func (s *Server) close() {
 	s.peers.Close()
-	for _, c := range []interface{ Close() error }{s.tunnel, s.peerUDP} {
-		if c != (*net.UDPConn)(nil) {
-			_ = c.Close()
-		}
-	}
-	for _, lis := range []net.Listener{s.peerTCP, s.web} {
-		if lis != nil {
-			_ = lis.Close()
-		}
-	}
+	listener.Close([]*net.UDPConn{s.tunnel, s.peerUDP}, []net.Listener{s.peerTCP, s.web})
 }
 
 // now returns the time since the process began.
--- a/internal/server/tunnel.go
+++ b/internal/server/tunnel.go
@@ -9,6 +9,7 @@
 
 	"example.org/rattanwood"
 	"example.org/rattanwood/encapsulator"
+	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
 	"example.org/rattanwood/router"
 	"example.org/rattanwood/wire"
@@ -21,7 +22,7 @@
 	for {
 		n, _, err := s.tunnel.ReadFromUDPAddrPort(buf)
 		if err != nil {
-			return closedSocket(ctx, err)
+			return listener.Closed(ctx, err)
 		}
 		s.packet(&d, buf[:n])
 	}
--- a/internal/server/web.go
+++ b/internal/server/web.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
-	"github.com/samber/oops"
 	goahttp "goa.design/goa/v3/http"
 
 	"example.org/rattanwood"
@@ -15,14 +14,12 @@
 	requestsserver "example.org/rattanwood/gen/http/requests/server"
 	genoperators "example.org/rattanwood/gen/operators"
 	genrequests "example.org/rattanwood/gen/requests"
+	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/router"
 )
 
-// Deadlines of the web server.
-const (
-	headerDeadlineTime = 5 * time.Second
-	closeDeadline      = 5 * time.Second
-)
+// closeDeadline bounds the wait for requests under way when the web server ends.
+const closeDeadline = 5 * time.Second
 
 // handler returns the routes of the web server.
 func (s *Server) handler() http.Handler {
@@ -37,23 +34,7 @@
 
 // serveWeb serves requests and the operators' pages.
 func (s *Server) serveWeb(ctx context.Context) error {
-	srv := &http.Server{Handler: s.handler(), ReadHeaderTimeout: headerDeadlineTime}
-	done := make(chan error, 1)
-	go func() { done <- srv.Serve(s.web) }()
-	select {
-	case err := <-done:
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return closedSocket(ctx, err)
-	case <-ctx.Done():
-	}
-	closing, cancel := context.WithTimeout(context.Background(), closeDeadline)
-	defer cancel()
-	if err := srv.Shutdown(closing); err != nil {
-		return oops.Code("web_close").Wrap(err)
-	}
-	return nil
+	return listener.ServeHTTP(ctx, s.web, s.handler(), closeDeadline)
 }
 
 // operators implements the operators service.
--- a/standins/soaker/upstream.go
+++ b/standins/soaker/upstream.go
@@ -21,10 +21,14 @@
 // workTime is the time that an upstream takes for a request.
 const workTime = 5 * time.Millisecond
 
+// flowEnds names a flow.
 type flowEnds struct {
 	caller, target netip.AddrPort
 }
 
+// String returns both ends as balancers log them.
+func (f flowEnds) String() string { return f.caller.String() + ">" + f.target.String() }
+
 // back is one life of an upstream, behind a link. Its methods are called by the schedule.
 type back struct {
 	w       *world
