Keep the platform's formats in platform/, for the soak as well

Cause: the soak's store, packets and registrations spelled the platform's words a second time. Change: platform/emulator writes what platform reads; the soak's store is a rattanwood.Source. No code of the balancer changes.

--- a/standins/soaker/caller.go
+++ b/standins/soaker/caller.go
@@ -8,6 +8,9 @@
 	"net/netip"
 	"strings"
 	"time"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/platform/emulator"
 )
 
 const (
@@ -31,7 +34,7 @@
 }
 
 type arrival struct {
-	packet
+	emulator.Packet
 	from netip.AddrPort
 }
 
@@ -63,9 +66,9 @@
 		if err != nil {
 			return
 		}
-		if p, ok := decode(buf[:n]); ok {
+		if p, err := emulator.Decode(buf[:n]); err == nil {
 			select {
-			case c.in <- arrival{packet: p, from: from}:
+			case c.in <- arrival{Packet: p, from: from}:
 			default:
 			}
 		}
@@ -110,7 +113,7 @@
 type flow struct {
 	c     *client
 	ends  flowEnds
-	echo  uint32
+	tag   rattanwood.UpstreamID
 	seq   uint32
 	ack   uint32
 	ended bool
@@ -122,17 +125,19 @@
 	f := &flow{c: c, ends: flowEnds{caller: netip.AddrPortFrom(c.ip, c.port), target: netip.MustParseAddrPort(address)}, seq: c.random.Uint32()}
 	c.w.opened(f.ends, time.Now())
 	for copies, wait := uint32(0), firstWait; copies < 3 && ctx.Err() == nil; copies, wait = copies+1, 2*wait {
-		f.send(packet{flags: bitOpen, seq: f.seq, ack: copies})
-		a, ok := f.wait(wait, func(a arrival) bool { return a.flags&(bitOpen|bitReset) != 0 })
+		f.send(rattanwood.Segment{Flags: rattanwood.FlagOpen, Seq: f.seq, Ack: copies}, "")
+		a, ok := f.wait(wait, func(a arrival) bool {
+			return a.Flags.Has(rattanwood.FlagOpen) || a.Flags.Has(rattanwood.FlagReset)
+		})
 		if !ok {
 			continue
 		}
-		if a.flags&bitReset != 0 {
+		if a.Flags.Has(rattanwood.FlagReset) {
 			c.w.checkRefusal(f.ends)
 			return nil
 		}
-		f.seq, f.ack = f.seq+1, a.seq+1
-		f.send(packet{flags: bitAck, seq: f.seq, ack: f.ack})
+		f.seq, f.ack = f.seq+1, a.Seq+1
+		f.send(rattanwood.Segment{Flags: rattanwood.FlagAck, Seq: f.seq, Ack: f.ack}, "")
 		return f
 	}
 	return nil
@@ -146,22 +151,22 @@
 		if left <= 0 {
 			break
 		}
-		f.send(packet{flags: bitAck, seq: f.seq, ack: f.ack, data: id})
+		f.send(rattanwood.Segment{Flags: rattanwood.FlagAck, Seq: f.seq, Ack: f.ack}, id)
 		a, ok := f.wait(min(wait, left), func(a arrival) bool {
-			return a.flags&bitReset != 0 || strings.HasPrefix(a.data, id+"|")
+			return a.Flags.Has(rattanwood.FlagReset) || strings.HasPrefix(a.Data, id+"|")
 		})
 		switch {
 		case !ok:
-		case a.flags&bitReset != 0:
+		case a.Flags.Has(rattanwood.FlagReset):
 			f.ended = true
-			if !a.signed {
+			if !a.Signed {
 				f.c.w.checkReset(f.ends, a.from)
 			}
 			return unknown
 		default:
 			f.seq += uint32(len(id))
-			f.ack += uint32(len(a.data))
-			f.ended = a.flags&bitClose != 0
+			f.ack += uint32(len(a.Data))
+			f.ended = a.Flags.Has(rattanwood.FlagClose)
 			return answered
 		}
 	}
@@ -169,12 +174,12 @@
 	return unknown
 }
 
-func (f *flow) send(p packet) {
-	p.from, p.to, p.echo, p.signed = f.ends.caller, f.ends.target, f.echo, true
-	f.c.w.router.forward(p)
+func (f *flow) send(s rattanwood.Segment, data string) {
+	s.Caller, s.Target, s.Tag = f.ends.caller, f.ends.target, f.tag
+	f.c.w.router.forward(emulator.Packet{Segment: s, Signed: true, Data: data})
 }
 
-// wait returns the first packet of this flow that matches, and takes over the echo of all.
+// wait returns the first packet of this flow that matches, and takes over the tag of all.
 func (f *flow) wait(d time.Duration, match func(arrival) bool) (arrival, bool) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -183,11 +188,11 @@
 		case <-t.C:
 			return arrival{}, false
 		case a := <-f.c.in:
-			if a.to != f.ends.caller {
+			if a.Target != f.ends.caller {
 				continue
 			}
-			if a.signed && a.echo != 0 {
-				f.echo = a.echo
+			if a.Signed && a.Tag != 0 {
+				f.tag = a.Tag
 			}
 			if match(a) {
 				return a, true
--- a/standins/soaker/router.go
+++ b/standins/soaker/router.go
@@ -9,6 +9,9 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/platform/emulator"
 )
 
 // probePeriod is the time between two questions whether a balancer is ready.
@@ -93,16 +96,16 @@
 	return ready
 }
 
-func (r *router) forward(p packet) {
+func (r *router) forward(p emulator.Packet) {
 	ready := r.rotation()
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(p.from.String() + p.to.String()))
+	_, _ = h.Write([]byte(p.Caller.String() + p.Target.String()))
 	t := ready[int(h.Sum32()%uint32(len(ready)))]
-	if p.flags&bitOpen != 0 {
-		r.w.routed(flowEnds{caller: p.from, target: p.to}, t.ip)
+	if p.Flags.Has(rattanwood.FlagOpen) {
+		r.w.routed(flowEnds{caller: p.Caller, target: p.Target}, t.ip)
 	}
 	if rand.Float64() < lossShare {
 		return
 	}
-	_, _ = r.conn.WriteToUDPAddrPort(p.encode(), netip.AddrPortFrom(netip.MustParseAddr(t.ip), tunnelPort))
+	_, _ = r.conn.WriteToUDPAddrPort(p.Encode(), netip.AddrPortFrom(netip.MustParseAddr(t.ip), tunnelPort))
 }
--- a/standins/soaker/schedule.go
+++ b/standins/soaker/schedule.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"example.org/rattanwood"
 )
 
 // gap bounds the time between the beginnings of two faults, which overlap since most last longer.
@@ -155,7 +157,7 @@
 		b.end()
 		// The registry drops it after three heartbeats of silence.
 		pauseFor(ctx, 3600*time.Millisecond)
-		s.store.put("servers/"+b.name(), "")
+		b.unregister()
 	})
 }
 
@@ -165,7 +167,7 @@
 		pauseFor(ctx, 2*applyTime)
 		s.fault(b.name(), time.Hour)
 		b.end()
-		s.store.put("servers/"+b.name(), "")
+		b.unregister()
 	})
 }
 
@@ -180,7 +182,7 @@
 }
 
 func (s *soak) drawRoute() (event, bool) {
-	service, d := "", s.span(200, 7000)
+	service, d := rattanwood.ServiceID(""), s.span(200, 7000)
 	if s.random.IntN(2) == 0 {
 		service = serviceSwap
 	}
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"sync"
@@ -18,6 +19,8 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"example.org/rattanwood"
+	"example.org/rattanwood/platform/emulator"
 	"example.org/rattanwood/standins/launcher"
 )
 
@@ -91,10 +94,10 @@
 	random    *rand.Rand
 	processes *launcher.Launcher
 	nodes     []*nodeProcess
-	services  map[string][]*back
-	next      uint64
-	routesNow map[string]string
-	version   int
+	services  map[rattanwood.ServiceID][]*back
+	next      rattanwood.Instance
+	routesNow map[string]rattanwood.ServiceID
+	version   rattanwood.Version
 	// edit guards the routes, which several events change.
 	edit sync.Mutex
 }
@@ -132,8 +135,8 @@
 			cfg: cfg, began: time.Now(), faults: map[string]time.Time{}, routes: map[string][]binding{},
 			openings: map[flowEnds]*opening{}, runs: map[string]int{},
 		},
-		random: rand.New(rand.NewPCG(cfg.Seed, 0)), processes: &launcher.Launcher{Dir: dir}, services: map[string][]*back{},
-		next: 0xab00000000, routesNow: map[string]string{},
+		random: rand.New(rand.NewPCG(cfg.Seed, 0)), processes: &launcher.Launcher{Dir: dir}, services: map[rattanwood.ServiceID][]*back{},
+		next: 0xab00000000, routesNow: map[string]rattanwood.ServiceID{},
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -228,7 +231,7 @@
 }
 
 // addBack starts an upstream of a service and registers it.
-func (s *soak) addBack(service string) error {
+func (s *soak) addBack(service rattanwood.ServiceID) error {
 	s.next++
 	host := int(s.next & 0xff)
 	b, err := newBack(s.world, s.next, service, s.ip(43, host)+":8080", s.ip(44, host)+":8080")
@@ -244,7 +247,7 @@
 }
 
 // route leads an address to a service, or nowhere.
-func (s *soak) route(address, service string) {
+func (s *soak) route(address string, service rattanwood.ServiceID) {
 	s.edit.Lock()
 	defer s.edit.Unlock()
 	if s.version++; service == "" {
@@ -255,7 +258,13 @@
 	s.mu.Lock()
 	s.routes[address] = append(s.routes[address], binding{service: service, since: time.Now()})
 	s.mu.Unlock()
-	s.store.put("op/config", routing(s.version, s.routesNow))
+	r := &rattanwood.Routing{Version: s.version, Health: map[rattanwood.ServiceID]string{serviceSwap: "/", serviceMaps: "/"}}
+	for address, service := range s.routesNow {
+		r.Routes = append(r.Routes, rattanwood.Route{
+			Name: address, Address: netip.MustParseAddrPort(address), Shares: []rattanwood.Share{{Service: service, Weight: 1}},
+		})
+	}
+	s.store.put(emulator.RoutingKey, emulator.Routing(r))
 }
 
 func (s *soak) addNode(i int) error {
@@ -264,9 +273,9 @@
 	if n.store, err = newLink(s.ip(2, i+1)+":8169", s.store.lis.Addr().String(), false); err != nil {
 		return err
 	}
-	text := fmt.Sprintf(`{"vm": %q, "centre": "east", "address": %q, "platform": %q, "affinity": "tag", "seeds": [%q, %q],
+	text := fmt.Sprintf(`{"vm": %q, "centre": %q, "address": %q, "platform": %q, "affinity": "tag", "seeds": [%q, %q],
 		"ports": {"peer": %d, "tunnel": %d, "web": %s}, "times": {"apply": 3000, "grace": 6}}`,
-		n.name, n.ip, n.store.at, s.ip(40, 1)+":1", s.ip(40, 2)+":1", peerPort, tunnelPort, webPort)
+		n.name, dataCentre, n.ip, n.store.at, s.ip(40, 1)+":1", s.ip(40, 2)+":1", peerPort, tunnelPort, webPort)
 	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/standins/soaker/store.go
+++ b/standins/soaker/store.go
@@ -1,137 +1,120 @@
 package soaker
 
 import (
-	"encoding/json"
+	"context"
+	"errors"
 	"net"
 	"net/http"
-	"strconv"
+	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/platform/emulator"
 )
 
-// pageItems is the number of items on a page, few so that several are needed.
-const pageItems = 5
+// pageRecords is the number of records on a page, few so that several are needed.
+const pageRecords = 5
 
-// pollTime is how often a waiting watch looks for events.
+// pollTime is how often a waiting watch looks for changes.
 const pollTime = 10 * time.Millisecond
 
-// item is a value of the store.
-type item struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value,omitempty"`
-	Revision int    `json:"revision"`
-	Deleted  bool   `json:"deleted,omitempty"`
-}
-
 // store stands in for the platform's store.
 type store struct {
 	mu  sync.Mutex
-	log []item
+	log []rattanwood.Record
 	// kept is the revision from which on the history is kept.
-	kept  int
+	kept  rattanwood.Revision
 	busy  bool
 	delay time.Duration
 	lis   net.Listener
 }
 
+var _ rattanwood.Source = (*store)(nil)
+
+// errBusy says that the store turns everybody away.
+var errBusy = errors.New("turned away")
+
 func newStore(address string) (*store, error) {
 	lis, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
 	s := &store{lis: lis}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-range", s.list)
-	mux.HandleFunc("GET /kv-watch", s.watch)
-	go func() { _ = (&http.Server{Handler: mux, ReadHeaderTimeout: time.Second}).Serve(lis) }()
+	go func() { _ = (&http.Server{Handler: emulator.Store(s), ReadHeaderTimeout: time.Second}).Serve(lis) }()
 	return s, nil
 }
 
 // put writes a value; an empty one deletes the key.
-func (s *store) put(key, value string) {
+func (s *store) put(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.log = append(s.log, item{Key: key, Value: []byte(value), Revision: len(s.log) + 1, Deleted: value == ""})
+	s.log = append(s.log, rattanwood.Record{Key: key, Value: value, Revision: s.at() + 1, Deleted: len(value) == 0})
 }
 
+// at is the store's revision; mu is held.
+func (s *store) at() rattanwood.Revision { return rattanwood.Revision(len(s.log)) }
+
 // set changes how the store answers, and may drop its history.
 func (s *store) set(busy bool, delay time.Duration, forget bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy, s.delay = busy, delay
 	if forget {
-		s.kept = len(s.log)
+		s.kept = s.at()
 	}
 }
 
-func (s *store) enter(w http.ResponseWriter) bool {
+func (s *store) enter(call string) error {
 	s.mu.Lock()
 	busy, delay := s.busy, s.delay
 	s.mu.Unlock()
 	time.Sleep(delay)
 	if busy {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		return &rattanwood.SourceError{Call: call, Reason: "busy", Cause: errBusy}
 	}
-	return !busy
+	return nil
 }
 
-func (s *store) list(w http.ResponseWriter, r *http.Request) {
-	if !s.enter(w) {
-		return
+// List implements rattanwood.Source.
+func (s *store) List(_ context.Context, after string) (rattanwood.Page, error) {
+	if err := s.enter("list"); err != nil {
+		return rattanwood.Page{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	newest := map[string]item{}
-	for _, it := range s.log {
-		newest[it.Key] = it
+	newest := map[string]rattanwood.Record{}
+	for _, r := range s.log {
+		newest[r.Key] = r
 	}
-	after := r.URL.Query().Get("after")
-	items, more := []item{}, false
-	for {
-		next := item{}
-		for key, it := range newest {
-			if !it.Deleted && key > after && (next.Key == "" || key < next.Key) {
-				next = it
-			}
+	p := rattanwood.Page{At: s.at()}
+	for _, r := range newest {
+		if !r.Deleted && r.Key > after {
+			p.Records = append(p.Records, r)
 		}
-		if more = next.Key != ""; !more || len(items) == pageItems {
-			break
-		}
-		items, after = append(items, next), next.Key
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "has_more": more, "at": len(s.log)})
+	slices.SortFunc(p.Records, func(a, b rattanwood.Record) int { return strings.Compare(a.Key, b.Key) })
+	if len(p.Records) > pageRecords {
+		p.Records, p.More = p.Records[:pageRecords], true
+	}
+	return p, nil
 }
 
-func (s *store) watch(w http.ResponseWriter, r *http.Request) {
-	if !s.enter(w) {
-		return
+// Watch implements rattanwood.Source.
+func (s *store) Watch(ctx context.Context, after rattanwood.Revision, wait time.Duration) (rattanwood.Changes, error) {
+	if err := s.enter("watch"); err != nil {
+		return rattanwood.Changes{}, err
 	}
-	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
-	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
-	for end := time.Now().Add(time.Duration(wait) * time.Millisecond); ; time.Sleep(pollTime) {
+	for end := time.Now().Add(wait); ; time.Sleep(pollTime) {
 		s.mu.Lock()
-		log, kept := s.log, s.kept
+		log, kept, at := s.log, s.kept, s.at()
 		s.mu.Unlock()
 		switch {
 		case after < kept:
-			w.WriteHeader(http.StatusGone)
-			return
-		case after < len(log) || time.Now().After(end) || r.Context().Err() != nil:
-			_ = json.NewEncoder(w).Encode(map[string]any{"events": log[min(after, len(log)):], "at": len(log)})
-			return
+			return rattanwood.Changes{}, &rattanwood.LostHistoryError{After: after}
+		case after < at || time.Now().After(end) || ctx.Err() != nil:
+			return rattanwood.Changes{Records: log[min(after, at):], At: at}, nil
 		}
 	}
 }
-
-// routing returns a configuration; routes map addresses to services.
-func routing(version int, routes map[string]string) string {
-	list := []map[string]any{}
-	for address, service := range routes {
-		host, port, _ := strings.Cut(address, ":")
-		list = append(list, map[string]any{"name": address, "hostname": host, "prefix": "/" + port + "/", "service": service})
-	}
-	services := []map[string]any{{"name": serviceSwap, "health_check_path": "/health"}, {"name": serviceMaps, "health_check_path": "/health"}}
-	data, _ := json.Marshal(map[string]any{"version": version, "routes": list, "services": services})
-	return string(data)
-}
--- a/standins/soaker/upstream.go
+++ b/standins/soaker/upstream.go
@@ -1,23 +1,26 @@
 package soaker
 
 import (
-	"encoding/binary"
-	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
 	"time"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/platform/emulator"
 )
 
 // Services of the soak.
 const (
-	serviceSwap = "swap"
-	serviceMaps = "maps"
+	serviceSwap rattanwood.ServiceID = "swap"
+	serviceMaps rattanwood.ServiceID = "maps"
 )
 
+// dataCentre is that of all balancers and upstreams.
+const dataCentre = "east"
+
 // workTime is the time that an upstream takes for a request.
 const workTime = 5 * time.Millisecond
 
@@ -32,8 +35,8 @@
 // back is one life of an upstream, behind a link. Its methods are called by the schedule.
 type back struct {
 	w       *world
-	id      uint64
-	service string
+	id      rattanwood.Instance
+	service rattanwood.ServiceID
 	link    *link
 	udp     *net.UDPConn
 	health  *http.Server
@@ -46,14 +49,14 @@
 }
 
 type backFlow struct {
-	echo    uint32
+	tag     rattanwood.UpstreamID
 	open    bool
 	closed  bool
 	answers map[uint32]string
 }
 
 // newBack starts an upstream at its own address, behind a link at another.
-func newBack(w *world, id uint64, service, at, to string) (*back, error) {
+func newBack(w *world, id rattanwood.Instance, service rattanwood.ServiceID, at, to string) (*back, error) {
 	b := &back{w: w, id: id, service: service, born: time.Now(), flows: map[flowEnds]*backFlow{}}
 	address, err := net.ResolveUDPAddr("udp4", to)
 	if err != nil {
@@ -66,11 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("X-Rattanwood-Instance-Id", b.name())
-	})
-	b.health = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	b.health = &http.Server{Handler: emulator.Status(id), ReadHeaderTimeout: time.Second}
 	go func() { _ = b.health.Serve(lis) }()
 	if b.link, err = newLink(at, to, true); err != nil {
 		return nil, err
@@ -79,21 +78,19 @@
 	return b, nil
 }
 
-func (b *back) name() string { return fmt.Sprintf("i-%010x", b.id) }
+func (b *back) name() string { return b.id.String() }
 
 // register writes what the upstream says of itself to the store.
 func (b *back) register() {
-	state := "ready"
-	if b.isDraining() {
-		state = "draining"
-	}
-	data, _ := json.Marshal(map[string]any{
-		"service": b.service, "address": b.link.at, "zone": "east", "version": "v1", "slots": 2, "state": state,
-		"warmup_remaining_ms": 0, "sequence": 1, "born": b.born.UnixMilli(),
-	})
-	b.w.store.put("servers/"+b.name(), string(data))
+	b.w.store.put(emulator.Key(b.id), emulator.Registration(rattanwood.Registration{
+		Service: b.service, Address: netip.MustParseAddrPort(b.link.at), DataCentre: dataCentre,
+		Slots: 2, Draining: b.isDraining(), Born: b.born.UnixMilli(),
+	}))
 }
 
+// unregister removes the upstream from the store.
+func (b *back) unregister() { b.w.store.put(emulator.Key(b.id), nil) }
+
 func (b *back) isDraining() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -131,77 +128,80 @@
 		if err != nil {
 			return
 		}
-		if n < addressSize || binary.BigEndian.Uint64(buf) != b.id {
+		in, p, err := emulator.DecodeForwarded(buf[:n])
+		if err != nil {
+			b.w.breach("an upstream got a datagram that holds no packet", err)
 			continue
 		}
-		if p, ok := decode(buf[addressSize:n]); ok {
+		if in == b.id {
 			b.take(p)
 		}
 	}
 }
 
-func (b *back) take(p packet) {
+func (b *back) take(p emulator.Packet) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	key := flowEnds{caller: p.from, target: p.to}
+	key := flowEnds{caller: p.Caller, target: p.Target}
 	f := b.flows[key]
 	switch {
-	case !p.signed:
+	case !p.Signed:
 		b.w.breach("an upstream got a packet that its sender did not write", key)
-	case p.flags&bitOpen != 0:
+	case p.Flags.Has(rattanwood.FlagOpen):
 		b.w.checkOpening(b, key, b.draining)
 		if f == nil {
 			f = &backFlow{answers: map[uint32]string{}}
 			b.flows[key] = f
 		}
-		f.echo = p.echo
-		b.reply(key, packet{flags: bitOpen | bitAck, seq: uint32(b.id), ack: p.seq + 1, echo: p.echo})
-	case f != nil && !f.open && p.ack != uint32(b.id)+1:
+		f.tag = p.Tag
+		b.reply(key, rattanwood.Segment{Flags: rattanwood.FlagOpen | rattanwood.FlagAck, Seq: uint32(b.id), Ack: p.Seq + 1, Tag: p.Tag}, "")
+	case f != nil && !f.open && p.Ack != uint32(b.id)+1:
 		// The Caller has opened the flow at another upstream.
 		// It asks the other upstreams, one of which may be doing the same.
 		go b.w.checkStray(b, key)
-		b.reply(key, packet{flags: bitReset, seq: p.ack, echo: p.echo})
+		b.reply(key, rattanwood.Segment{Flags: rattanwood.FlagReset, Seq: p.Ack, Tag: p.Tag}, "")
 	case f == nil || f.closed:
 		// It asks the other upstreams, one of which may be doing the same.
 		go b.w.checkStray(b, key)
-		b.reply(key, packet{flags: bitReset, seq: p.ack, echo: p.echo})
+		b.reply(key, rattanwood.Segment{Flags: rattanwood.FlagReset, Seq: p.Ack, Tag: p.Tag}, "")
 	default:
-		f.open, f.echo = true, p.echo
-		if p.data != "" {
+		f.open, f.tag = true, p.Tag
+		if p.Data != "" {
 			b.answer(key, f, p)
 		}
 	}
 }
 
 // answer runs a request once, and repeats the answer for its copies.
-func (b *back) answer(key flowEnds, f *backFlow, p packet) {
-	data, done := f.answers[p.seq]
+func (b *back) answer(key flowEnds, f *backFlow, p emulator.Packet) {
+	data, done := f.answers[p.Seq]
 	if !done {
-		b.w.ran(p.data)
-		data = p.data + "|" + b.name()
-		f.answers[p.seq] = data
+		b.w.ran(p.Data)
+		data = p.Data + "|" + b.name()
+		f.answers[p.Seq] = data
 	}
-	flags := byte(bitAck)
+	flags := rattanwood.FlagAck
 	if !b.draining.IsZero() {
-		flags |= bitClose
+		flags |= rattanwood.FlagClose
 		f.closed = !done
 	}
 	time.AfterFunc(workTime, func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		if !b.dead {
-			b.reply(key, packet{flags: flags, seq: p.ack, ack: p.seq + uint32(len(p.data)), echo: f.echo, data: data})
+			b.reply(key, rattanwood.Segment{Flags: flags, Seq: p.Ack, Ack: p.Seq + uint32(len(p.Data)), Tag: f.tag}, data)
 		}
 	})
 }
 
 // reply sends a packet straight to the Caller.
-func (b *back) reply(key flowEnds, p packet) {
-	p.from, p.to, p.signed = key.target, key.caller, true
+func (b *back) reply(key flowEnds, s rattanwood.Segment, data string) {
 	if rand.Float64() < lossShare {
 		return
 	}
-	_, _ = b.udp.WriteToUDPAddrPort(p.encode(), netip.AddrPortFrom(key.caller.Addr(), tunnelPort))
+	s.Caller, s.Target = key.target, key.caller
+	p := emulator.Packet{Segment: s, Signed: true, Data: data}
+	_, _ = b.udp.WriteToUDPAddrPort(p.Encode(), netip.AddrPortFrom(key.caller.Addr(), tunnelPort))
 }
 
 // holds reports whether the flow is open here.
--- a/standins/soaker/world.go
+++ b/standins/soaker/world.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"example.org/rattanwood"
 )
 
 // Ports of all balancers of a soak, which differ by IP number.
@@ -61,7 +63,7 @@
 }
 
 type binding struct {
-	service string
+	service rattanwood.ServiceID
 	since   time.Time
 }
 
@@ -148,7 +150,7 @@
 }
 
 // boundAt returns the service that an address leads to, empty for none, and since when.
-func (w *world) boundAt(address string) (service string, since time.Time) {
+func (w *world) boundAt(address string) (service rattanwood.ServiceID, since time.Time) {
 	all := w.routes[address]
 	last := all[len(all)-1]
 	return last.service, last.since
