Name to each member those that it doesn't know

Cause: on the grown sites most nodes knew only the three seeds and what these called themselves. A seed hears from everybody without learning where they are, so that it can't name them; it pushes records and loads to all of them, overdraws its budget (1.4 MB shed), and then sends no roster at all. Ruled out: lost datagrams (rosters that were sent arrived), and the ranking of duties (right once members are known). Change: heartbeats say the sender's data centre. A pull names the members that are known, by hash and in parts, and the answer names up to 64 others. Rosters and pulls may overdraw the budget like heartbeats; loads are bounded and the first to go. Each duty is ranked once a second instead of on each tick.

--- a/balancer/message.go
+++ b/balancer/message.go
@@ -180,6 +180,6 @@
 		b.send(now, limiter.State, m, &wire.Envelope{Body: &wire.Envelope_Marks{Marks: w}})
 	}
 	if p.GetRoster() {
-		b.send(now, limiter.State, m, &wire.Envelope{Body: &wire.Envelope_Roster{Roster: b.Members.Roster()}})
+		b.send(now, limiter.State, m, &wire.Envelope{Body: &wire.Envelope_Roster{Roster: b.Members.Roster(p)}})
 	}
 }
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -245,6 +245,9 @@
 
 		Courtesy: d.cfg.Sparse && !m.chosen,
 	}
+	if d.cfg.Sparse {
+		b.Centre = string(d.cfg.DataCentre)
+	}
 	if m.seq != 0 {
 		b.Echo = m.seq
 		b.Held = uint64((now - m.received) / time.Microsecond)
@@ -269,6 +272,7 @@
 		return Event{}, false
 	}
 	d.revive(now, m, b)
+	d.locate(m, rattanwood.DataCentre(b.GetCentre()))
 	m.Version = rattanwood.Version(b.Version)
 	m.Blind = b.Blind
 	e = Event{Behind: m.Version > own.Version, Marks: b.Marks != own.Marks, Roster: b.Roster != d.digest()}
--- a/detector/roster.go
+++ b/detector/roster.go
@@ -57,14 +57,21 @@
 	if m.State != Alive {
 		m.Address = address
 	}
+	d.locate(m, centre)
+}
+
+// locate records where a member is, if that is said.
+func (d *Detector) locate(m *Member, centre rattanwood.DataCentre) {
 	if centre != "" && m.DataCentre != centre {
 		m.DataCentre = centre
 		d.stale = true
 	}
 }
 
-// Enrol takes in the members that a peer names; entries without an address are passed over.
-func (d *Detector) Enrol(r *wire.Roster) {
+// Enrol takes in the members that a peer names and reports whether one of them is new; entries without
+// an address are passed over.
+func (d *Detector) Enrol(r *wire.Roster) (news bool) {
+	before := len(d.order)
 	for _, w := range r.GetMembers() {
 		address, err := netip.ParseAddrPort(w.GetAddress())
 		if err != nil {
@@ -72,6 +79,7 @@
 		}
 		d.Add(rattanwood.VMID(w.GetVm()), address, rattanwood.DataCentre(w.GetCentre()))
 	}
+	return len(d.order) > before
 }
 
 // List takes in the platform's list of VMs; members that are dead and not listed are forgotten.
@@ -132,19 +140,69 @@
 	return m.State == Alive
 }
 
-// Roster builds the message that names all members, this one included.
-func (d *Detector) Roster() *wire.Roster {
+const (
+	// partMost is the number of members in a part of the table: their hashes take 2 KB of a Pull.
+	partMost = 512
+	// namesMost is the number of members that a Roster names to a Pull: 4 KB, so that a seed
+	// can answer sixty members of a fleet that starts from what its budget saves up.
+	namesMost = 64
+)
+
+// Pull asks for the members that this one doesn't know, in one part of the table at a time.
+func (d *Detector) Pull() *wire.Pull {
+	if !d.cfg.Sparse {
+		return &wire.Pull{Roster: true}
+	}
+	parts := 1 + len(d.order)/partMost
+	p := &wire.Pull{Roster: true, Parts: uint32(parts), Part: uint32(d.random.IntN(parts))}
+	for _, m := range d.order {
+		if d.enrolled(m) && inPart(m.Seed, p) {
+			p.Known = append(p.Known, uint32(m.Seed))
+		}
+	}
+	return p
+}
+
+// inPart divides the members by the upper half of their hashes, as Known holds the lower one.
+func inPart(seed uint64, p *wire.Pull) bool {
+	return uint32(seed>>32)%p.GetParts() == p.GetPart()
+}
+
+// Roster builds the answer to a Pull, with this member among those named.
+func (d *Detector) Roster(p *wire.Pull) *wire.Roster {
+	named := make([]*Member, 0, len(d.order))
+	for _, m := range d.order {
+		if d.enrolled(m) {
+			named = append(named, m)
+		}
+	}
+	if p.GetParts() > 0 {
+		named = d.missing(named, p)
+	}
 	r := &wire.Roster{Members: []*wire.Member{{
 		Vm: string(d.cfg.Self), Life: uint64(d.cfg.Life),
 		Address: d.cfg.Address.String(), Centre: string(d.cfg.DataCentre),
 	}}}
-	for _, m := range d.order {
-		if d.enrolled(m) {
-			r.Members = append(r.Members, &wire.Member{
-				Vm: string(m.VM), Life: uint64(m.Life),
-				Address: m.Address.String(), Centre: string(m.DataCentre),
-			})
-		}
+	for _, m := range named {
+		r.Members = append(r.Members, &wire.Member{
+			Vm: string(m.VM), Life: uint64(m.Life),
+			Address: m.Address.String(), Centre: string(m.DataCentre),
+		})
 	}
 	return r
 }
+
+// missing returns those members that the sender of a Pull doesn't know. Where they are too many, they are drawn at
+// random: members that were told different ones tell each other the rest.
+func (d *Detector) missing(members []*Member, p *wire.Pull) []*Member {
+	known := make(map[uint32]bool, len(p.GetKnown()))
+	for _, hash := range p.GetKnown() {
+		known[hash] = true
+	}
+	missing := slices.DeleteFunc(members, func(m *Member) bool { return !inPart(m.Seed, p) || known[uint32(m.Seed)] })
+	if len(missing) > namesMost {
+		d.random.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
+		missing = missing[:namesMost]
+	}
+	return missing
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -231,7 +231,7 @@
 	switch {
 	case !ok || !present:
 		return prober.Absent
-	case n.leaving.Load() || !n.talk.Duty(id):
+	case n.leaving.Load() || !n.talk.Duty(n.now(), id):
 		return prober.Watched
 	case string(r.DataCentre) == n.cfg.Settings.Centre:
 		return prober.Local
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -5,6 +5,7 @@
 package messenger
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -28,6 +29,11 @@
 	syncPause = 300 * time.Millisecond
 	// rosterPause is the time between two pulls of the roster.
 	rosterPause = time.Second
+	// loadsMost is the number of loads in a heartbeat: 430 bytes, so that thirty neighbours a second cost half of the budget.
+	loadsMost = 48
+	// dutyKeep is how long a duty stays with a balancer that has just been outranked, or waits for its successor: a third of
+	// the time between two checks, and so rarely that ranking all upstreams costs nothing.
+	dutyKeep = time.Second
 	// hundredths is the unit of work in a Load.
 	hundredths = 100
 )
@@ -107,6 +113,9 @@
 	full          time.Duration
 	failing, dead []rattanwood.UpstreamID
 	synced        time.Duration
+	// duties are the answers of Duty since the time ranked.
+	duties map[rattanwood.UpstreamID]bool
+	ranked time.Duration
 }
 
 // New returns a messenger that knows nobody.
@@ -117,6 +126,7 @@
 		Members: detector.New(cfg.Detector),
 		Limits:  limiter.New(cfg.Limiter),
 		Packer:  NewPacker(),
+		duties:  map[rattanwood.UpstreamID]bool{},
 	}
 }
 
@@ -131,7 +141,7 @@
 func (m *Messenger) Tick(now time.Duration, know func() Knowledge) {
 	beats, probes := m.Members.Tick(now)
 	for _, q := range probes {
-		m.send(now, limiter.Liveness, q.Witness, &wire.Envelope{Body: &wire.Envelope_Probe{Probe: &wire.Probe{Target: string(q.Target)}}})
+		m.send(now, q.Witness, &wire.Envelope{Body: &wire.Envelope_Probe{Probe: &wire.Probe{Target: string(q.Target)}}})
 	}
 	if len(beats) == 0 {
 		return
@@ -145,8 +155,11 @@
 			// Whoever shows this revision has the records already.
 			beat.Prior, beat.Records = common.Prior, common.Records
 		}
-		beat.Loads, beat.Failing, beat.Dead = common.Loads, common.Failing, common.Dead
-		m.send(now, limiter.Liveness, to, &wire.Envelope{Body: &wire.Envelope_Beat{Beat: beat}})
+		beat.Failing, beat.Dead = common.Failing, common.Dead
+		if !beat.GetCourtesy() {
+			beat.Loads = common.Loads
+		}
+		m.send(now, to, &wire.Envelope{Body: &wire.Envelope_Beat{Beat: beat}})
 	}
 }
 
@@ -164,13 +177,26 @@
 	}
 	if full {
 		m.full = now
-		for _, l := range k.Loads {
+		// Loads only help to place flows, so they are the first to go when the budget is short.
+		if m.Limits.Room(now, limiter.State) <= 0 {
+			return beat
+		}
+		for _, l := range heaviest(k.Loads) {
 			beat.Loads = append(beat.Loads, &wire.Load{Upstream: uint32(l.Upstream), Work: uint32(l.Work * hundredths)})
 		}
 	}
 	return beat
 }
 
+// heaviest returns the loads that weigh most in a choice of upstreams, if there are too many.
+func heaviest(loads []Load) []Load {
+	if len(loads) <= loadsMost {
+		return loads
+	}
+	loads = slices.SortedFunc(slices.Values(loads), func(a, b Load) int { return cmp.Compare(b.Work, a.Work) })
+	return loads[:loadsMost]
+}
+
 func encodeUpstreams(ids []rattanwood.UpstreamID) []uint32 {
 	out := make([]uint32, len(ids))
 	for i, id := range ids {
@@ -204,11 +230,12 @@
 	return time.Duration(min(ms-1, most)) * time.Millisecond, true
 }
 
-// send queues a datagram if the budget of its class allows it.
-func (m *Messenger) send(now time.Duration, class limiter.Class, to *detector.Member, e *wire.Envelope) {
+// send queues a datagram if the budget allows it. All are of the class that may overdraw it: without heartbeats and
+// members nothing else works.
+func (m *Messenger) send(now time.Duration, to *detector.Member, e *wire.Envelope) {
 	e.Vm = string(m.cfg.Detector.Self)
 	e.Life = uint64(m.cfg.Detector.Life)
-	if !m.Limits.Allow(now, class, proto.Size(e)+headers) {
+	if !m.Limits.Allow(now, limiter.Liveness, proto.Size(e)+headers) {
 		return
 	}
 	m.actions = append(m.actions, Send{Address: to.Address, Message: e})
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -47,6 +47,8 @@
 	random *rand.Rand
 	loss   float64
 	log    []rattanwood.Record
+	// loads is the number of upstreams that each node reports work for.
+	loads int
 }
 
 func newFleet(c *qt.C, n int) *fleet {
@@ -84,17 +86,21 @@
 	return f.nodes[i]
 }
 
-func (n *node) knowledge(now time.Duration) messenger.Knowledge {
+func (f *fleet) knowledge(n *node) messenger.Knowledge {
+	now := f.now
 	c, ok := n.watch.Newest()
 	k := messenger.Knowledge{Revision: n.copy.At(), Age: now - c.At, Confirmed: ok, Reader: c.Reader, Seq: c.Seq}
 	k.Prior, k.Records = n.copy.Take()
+	for id := range f.loads {
+		k.Loads = append(k.Loads, messenger.Load{Upstream: rattanwood.UpstreamID(id + 1), Work: 5})
+	}
 	return k
 }
 
 func (f *fleet) run(d time.Duration) {
 	for end := f.now + d; f.now < end; f.now += step {
 		for _, n := range f.nodes {
-			n.talk.Tick(f.now, func() messenger.Knowledge { return n.knowledge(f.now) })
+			n.talk.Tick(f.now, func() messenger.Knowledge { return f.knowledge(n) })
 		}
 		for _, n := range f.nodes {
 			f.deliver(n)
@@ -233,6 +239,35 @@
 	}
 }
 
+// TestEverybodyIsKnown answers the start of a whole fleet, in which all know only the three seeds: if those are
+// too busy to name the others, every node goes on taking all duties of its data centre.
+func TestEverybodyIsKnown(t *testing.T) {
+	for _, n := range []int{15, 136, 300} {
+		for _, loss := range []float64{0, 0.05} {
+			t.Run(fmt.Sprintf("%d nodes, loss %v", n, loss), func(t *testing.T) {
+				c := qt.New(t)
+				f := newFleet(c, n)
+				f.loads, f.loss = 150, loss
+				// Upstreams register meanwhile.
+				for i := range 15 {
+					f.write(fmt.Sprintf("%0300d", i))
+					f.run(200 * time.Millisecond)
+				}
+				f.run(7 * time.Second)
+				strangers := 0
+				for _, a := range f.nodes {
+					for _, b := range f.nodes {
+						if m, ok := a.talk.Members.Member(b.name); a != b && (!ok || m.DataCentre == "") {
+							strangers++
+						}
+					}
+				}
+				c.Assert(strangers, qt.Equals, 0)
+			})
+		}
+	}
+}
+
 // TestDuties checks that each upstream's check falls to about one node of each data centre.
 func TestDuties(t *testing.T) {
 	c := qt.New(t)
@@ -241,7 +276,7 @@
 	for id := rattanwood.UpstreamID(1); id < 50; id++ {
 		var got [centres]int
 		for _, n := range f.nodes {
-			if n.talk.Duty(id * 0x9e3779b1) {
+			if n.talk.Duty(f.now, id*0x9e3779b1) {
 				got[n.centre]++
 			}
 		}
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -6,7 +6,6 @@
 
 	"example.org/rattanwood"
 	"example.org/rattanwood/detector"
-	"example.org/rattanwood/limiter"
 	"example.org/rattanwood/ranker"
 	"example.org/rattanwood/watcher"
 	"example.org/rattanwood/wire"
@@ -28,14 +27,17 @@
 		return m.heard(now, sender, e, body.Beat)
 	case *wire.Envelope_Probe:
 		if w, ok := m.Members.Witness(now, body.Probe); ok {
-			m.send(now, limiter.Liveness, sender, &wire.Envelope{Body: &wire.Envelope_Witness{Witness: w}})
+			m.send(now, sender, &wire.Envelope{Body: &wire.Envelope_Witness{Witness: w}})
 		}
 	case *wire.Envelope_Witness:
 		m.Members.Vouch(now, body.Witness)
 	case *wire.Envelope_Roster:
-		m.Members.Enrol(body.Roster)
+		if m.Members.Enrol(body.Roster) {
+			// Whoever beats next may know more.
+			m.rostered = 0
+		}
 	case *wire.Envelope_Pull:
-		m.send(now, limiter.State, sender, &wire.Envelope{Body: &wire.Envelope_Roster{Roster: m.Members.Roster()}})
+		m.send(now, sender, &wire.Envelope{Body: &wire.Envelope_Roster{Roster: m.Members.Roster(body.Pull)}})
 	}
 	return News{}, false
 }
@@ -47,7 +49,7 @@
 	}
 	if event.Roster && (m.rostered == 0 || now-m.rostered >= rosterPause) {
 		m.rostered = now
-		m.send(now, limiter.State, sender, &wire.Envelope{Body: &wire.Envelope_Pull{Pull: &wire.Pull{Roster: true}}})
+		m.send(now, sender, &wire.Envelope{Body: &wire.Envelope_Pull{Pull: m.Members.Pull()}})
 	}
 	news := News{From: sender.VM, DataCentre: sender.DataCentre}
 	news.Prior = rattanwood.Revision(beat.GetPrior())
@@ -95,8 +97,17 @@
 var readerKey = ranker.Seed("reader")
 
 // Duty reports whether the check of an upstream falls to this balancer in its data centre.
-func (m *Messenger) Duty(id rattanwood.UpstreamID) bool {
-	return m.rank(uint64(id), func(d *detector.Member) bool { return d.DataCentre == m.cfg.Detector.DataCentre }) == 0
+func (m *Messenger) Duty(now time.Duration, id rattanwood.UpstreamID) bool {
+	if now-m.ranked >= dutyKeep {
+		m.ranked = now
+		clear(m.duties)
+	}
+	first, ok := m.duties[id]
+	if !ok {
+		first = m.rank(uint64(id), func(d *detector.Member) bool { return d.DataCentre == m.cfg.Detector.DataCentre }) == 0
+		m.duties[id] = first
+	}
+	return first
 }
 
 func (m *Messenger) rank(key uint64, match func(*detector.Member) bool) int {
