Keep new flows off upstreams that fail requests

Cause: an upstream that fails requests while its status check is good (hangs, stays mute, answers errors at once) loses its flows at the first failure, so that it looks emptier than the others and is given more. Ruled out: the check, which answers; a verdict that ejects upstreams, since a false one could empty a service; silence alone as evidence, since after each change of the fabric's hash the requests under way go silent here; resets, since the upstream lives. Change: the tagger follows each flow's last request by the Caller's acknowledgements. The placer weighs failures beyond what the service fails anyway as work; heartbeats carry own failures and the most that anybody counted.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -270,6 +270,10 @@
 		}
 		last = now
 		n.flows.Tick(now)
+		failures := n.flows.Judge(now)
+		if len(failures) > 0 {
+			n.spread(now)
+		}
 		n.talk.Tick(now, n.knowledge)
 		if now-swept >= sweepPeriod {
 			swept = now
@@ -279,6 +283,7 @@
 		due := n.checks.Due(now, n.duty)
 		actions := n.talk.Take()
 		n.mu.Unlock()
+		n.logFailures(failures)
 		n.perform(ctx, actions)
 		n.startChecks(ctx, now, due)
 	}
--- a/internal/node/packets.go
+++ b/internal/node/packets.go
@@ -94,6 +94,14 @@
 	}
 }
 
+// logFailures logs requests that failed, as far as their Callers' packets show.
+func (n *Node) logFailures(failures []tagger.Failure) {
+	for _, f := range failures {
+		n.log.Info("request failed", zap.String(logger.KeyFlow, flowName(f.Segment)), zap.Stringer(logger.KeyUpstream, f.Upstream),
+			zap.Int("size", f.Size), zap.Int("usual", f.Usual))
+	}
+}
+
 // upstreamOf returns the upstream that a decision is about, zero for none.
 func upstreamOf(s rattanwood.Segment, v tagger.Verdict) rattanwood.UpstreamID {
 	if v.Action == tagger.Forward {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -17,6 +17,7 @@
 	"example.org/rattanwood/internal/logger"
 	"example.org/rattanwood/internal/settings"
 	"example.org/rattanwood/messenger"
+	"example.org/rattanwood/placer"
 	"example.org/rattanwood/prober"
 	"example.org/rattanwood/watcher"
 	"example.org/rattanwood/wire"
@@ -36,8 +37,9 @@
 	k.Failing, k.Dead = n.checks.Failing()
 	k.Prior, k.Records = n.copy.Take()
 	for _, id := range n.flows.Registered() {
-		if work := n.loads.Own(now, id); work > 0 {
-			k.Loads = append(k.Loads, messenger.Load{Upstream: id, Work: work})
+		own, failures := n.loads.Own(now, id), n.loads.Failures(now, id)
+		if own.Requests > 0 || failures > 0 {
+			k.Loads = append(k.Loads, messenger.Load{Upstream: id, Work: own.Requests, Failures: own.Failures, Rumour: failures})
 		}
 	}
 	return k
@@ -95,7 +97,10 @@
 		n.confirm(now, watcher.Confirmation{Reader: news.Reader, Seq: news.Seq, At: now - news.Age})
 	}
 	for _, l := range news.Loads {
-		n.loads.Merge(now, news.From, l.Upstream, l.Work)
+		n.loads.Merge(now, news.From, l.Upstream, placer.Work{Requests: l.Work, Failures: l.Failures})
+		if n.loads.Rumour(now, l.Upstream, l.Rumour) {
+			n.spread(now)
+		}
 	}
 	near := string(news.DataCentre) == n.cfg.Settings.Centre
 	for _, id := range news.Failing {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -34,6 +34,8 @@
 	// dutyKeep is how long a duty stays with a balancer that has just been outranked, or waits for its successor: a third of
 	// the time between two checks, and so rarely that ranking all upstreams costs nothing.
 	dutyKeep = time.Second
+	// rumourStep is by how much an upstream's failures rise before short heartbeats tell them too: one is news.
+	rumourStep = 0.5
 	// hundredths is the unit of work in a Load.
 	hundredths = 100
 )
@@ -88,7 +90,10 @@
 // Load is the work that a balancer gave to an upstream lately, in requests.
 type Load struct {
 	Upstream rattanwood.UpstreamID
-	Work     float64
+	// Work is what was sent, and Failures are those that were not answered, or not well.
+	Work, Failures float64
+	// Rumour is the most failures that the sender knows anybody to have counted.
+	Rumour float64
 }
 
 // News is what a heartbeat brought.
@@ -113,6 +118,8 @@
 	full          time.Duration
 	failing, dead []rattanwood.UpstreamID
 	synced        time.Duration
+	// rumours are those of the last heartbeats.
+	rumours map[rattanwood.UpstreamID]float64
 	// duties are the answers of Duty since the time ranked.
 	duties map[rattanwood.UpstreamID]bool
 	ranked time.Duration
@@ -126,6 +133,7 @@
 		Members: detector.New(cfg.Detector),
 		Limits:  limiter.New(cfg.Limiter),
 		Packer:  NewPacker(),
+		rumours: map[rattanwood.UpstreamID]float64{},
 		duties:  map[rattanwood.UpstreamID]bool{},
 	}
 }
@@ -175,25 +183,42 @@
 		beat.Failing, beat.Dead = encodeUpstreams(k.Failing), encodeUpstreams(k.Dead)
 		m.failing, m.dead = k.Failing, k.Dead
 	}
+	loads := m.rumoured(k.Loads)
 	if full {
 		m.full = now
+		clear(m.rumours)
 		// Loads only help to place flows, so they are the first to go when the budget is short.
-		if m.Limits.Room(now, limiter.State) <= 0 {
-			return beat
-		}
-		for _, l := range heaviest(k.Loads) {
-			beat.Loads = append(beat.Loads, &wire.Load{Upstream: uint32(l.Upstream), Work: uint32(l.Work * hundredths)})
+		if m.Limits.Room(now, limiter.State) > 0 {
+			loads = heaviest(k.Loads)
 		}
 	}
+	for _, l := range loads {
+		m.rumours[l.Upstream] = l.Rumour
+		beat.Loads = append(beat.Loads, &wire.Load{
+			Upstream: uint32(l.Upstream), Work: uint32(l.Work * hundredths),
+			Failures: uint32(l.Failures * hundredths), Rumour: uint32(l.Rumour * hundredths),
+		})
+	}
 	return beat
 }
 
+// rumoured returns the loads whose failures have risen since they were told.
+func (m *Messenger) rumoured(loads []Load) []Load {
+	var out []Load
+	for _, l := range loads {
+		if l.Rumour >= m.rumours[l.Upstream]+rumourStep {
+			out = append(out, l)
+		}
+	}
+	return heaviest(out)
+}
+
 // heaviest returns the loads that weigh most in a choice of upstreams, if there are too many.
 func heaviest(loads []Load) []Load {
 	if len(loads) <= loadsMost {
 		return loads
 	}
-	loads = slices.SortedFunc(slices.Values(loads), func(a, b Load) int { return cmp.Compare(b.Work, a.Work) })
+	loads = slices.SortedFunc(slices.Values(loads), func(a, b Load) int { return cmp.Compare(b.Work+b.Rumour, a.Work+a.Rumour) })
 	return loads[:loadsMost]
 }
 
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -59,7 +59,10 @@
 	news.Age, news.Confirmed = DecodeAge(beat.GetConfirmed())
 	news.Reader, news.Seq = watcher.Reader(beat.GetReader()), beat.GetConfirmation()
 	for _, l := range beat.GetLoads() {
-		news.Loads = append(news.Loads, Load{Upstream: rattanwood.UpstreamID(l.GetUpstream()), Work: float64(l.GetWork()) / hundredths})
+		news.Loads = append(news.Loads, Load{
+			Upstream: rattanwood.UpstreamID(l.GetUpstream()), Work: float64(l.GetWork()) / hundredths,
+			Failures: float64(l.GetFailures()) / hundredths, Rumour: float64(l.GetRumour()) / hundredths,
+		})
 	}
 	news.Failing, news.Dead = decodeUpstreams(beat.GetFailing()), decodeUpstreams(beat.GetDead())
 	return news, true
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -5,6 +5,10 @@
 // an upstream that looks empty to everybody doesn't get every flow. Upstreams of
 // the own data centre go first until they carry more than their share (bounded
 // loads; Mirrokni, Thorup and Zadimoghaddam, 2016).
+//
+// Requests that fail weigh as much as many that don't, since an upstream that fails them at once, or whose Callers
+// give up, looks emptier than the others. A weight, unlike a verdict, can't empty a
+// service by mistake: where all fail alike, all are used alike.
 package placer
 
 import (
@@ -24,6 +28,9 @@
 	// Excess is how far an upstream of the own data centre may exceed its service's mean, as a
 	// part of it, before a flow goes to another data centre.
 	Excess float64
+	// FailureWork is the least work that a failed request counts for; it counts for the mean work of the service's
+	// upstreams if that is more.
+	FailureWork float64
 	// ReportAge is the age after which a peer's report no longer counts.
 	ReportAge time.Duration
 	Random    *rand.Rand
@@ -38,6 +45,8 @@
 		OpenWork: 5,
 		// At the load for which sites are sized (about half), the own upstreams stay under three quarters.
 		Excess: 0.5,
+		// Four new flows, so that one failure turns others away where little work is known.
+		FailureWork: 20,
 		// Three reports of one second may be lost.
 		ReportAge: 4 * time.Second,
 		Random:    random,
@@ -53,14 +62,25 @@
 	Local bool
 }
 
-type counter struct {
-	work float64
-	at   time.Duration
+// Work is what an upstream was given lately, in requests, decayed over the window.
+type Work struct {
+	Requests float64
+	// Failures are those that were not answered, or not well.
+	Failures float64
+}
+
+func (w Work) times(f float64) Work {
+	return Work{Requests: w.Requests * f, Failures: w.Failures * f}
 }
 
-type report struct {
-	work float64
-	at   time.Duration
+func (w Work) plus(v Work) Work {
+	return Work{Requests: w.Requests + v.Requests, Failures: w.Failures + v.Failures}
+}
+
+// stamped is work as of a time.
+type stamped struct {
+	Work
+	at time.Duration
 }
 
 type reportKey struct {
@@ -71,49 +91,80 @@
 // Placer holds the work by upstream. It isn't safe for concurrent use.
 type Placer struct {
 	cfg     Config
-	own     map[rattanwood.UpstreamID]counter
-	reports map[reportKey]report
+	own     map[rattanwood.UpstreamID]stamped
+	reports map[reportKey]stamped
 	// others is the sum of the peers' reports, brought up to date by Tick.
-	others map[rattanwood.UpstreamID]float64
+	others map[rattanwood.UpstreamID]Work
+	// rumours are the most failures that anybody counted, wherever in the fleet.
+	rumours map[rattanwood.UpstreamID]stamped
 }
 
 // New returns a placer that knows of no work.
 func New(cfg Config) *Placer {
 	return &Placer{
 		cfg:     cfg,
-		own:     map[rattanwood.UpstreamID]counter{},
-		reports: map[reportKey]report{},
-		others:  map[rattanwood.UpstreamID]float64{},
+		own:     map[rattanwood.UpstreamID]stamped{},
+		reports: map[reportKey]stamped{},
+		others:  map[rattanwood.UpstreamID]Work{},
+		rumours: map[rattanwood.UpstreamID]stamped{},
 	}
 }
 
 // Open counts a flow that was placed on an upstream.
-func (p *Placer) Open(now time.Duration, id rattanwood.UpstreamID) { p.add(now, id, p.cfg.OpenWork) }
+func (p *Placer) Open(now time.Duration, id rattanwood.UpstreamID) {
+	p.add(now, id, Work{Requests: p.cfg.OpenWork})
+}
 
 // Request counts a request that was forwarded to an upstream.
-func (p *Placer) Request(now time.Duration, id rattanwood.UpstreamID) { p.add(now, id, 1) }
+func (p *Placer) Request(now time.Duration, id rattanwood.UpstreamID) {
+	p.add(now, id, Work{Requests: 1})
+}
 
-func (p *Placer) add(now time.Duration, id rattanwood.UpstreamID, work float64) {
-	p.own[id] = counter{work: p.decayed(now, p.own[id]) + work, at: now}
+// Fail counts a request that an upstream didn't answer, or not well.
+func (p *Placer) Fail(now time.Duration, id rattanwood.UpstreamID) {
+	p.add(now, id, Work{Failures: 1})
 }
 
-func (p *Placer) decayed(now time.Duration, c counter) float64 {
-	if c.work == 0 {
-		return 0
-	}
-	return c.work * math.Exp(-float64(now-c.at)/float64(p.cfg.Window))
+func (p *Placer) add(now time.Duration, id rattanwood.UpstreamID, w Work) {
+	p.own[id] = stamped{Work: p.Own(now, id).plus(w), at: now}
 }
 
 // Own returns the work that this balancer gave to an upstream.
-func (p *Placer) Own(now time.Duration, id rattanwood.UpstreamID) float64 {
+func (p *Placer) Own(now time.Duration, id rattanwood.UpstreamID) Work {
 	return p.decayed(now, p.own[id])
 }
 
+func (p *Placer) decayed(now time.Duration, w stamped) Work {
+	if w.Work == (Work{}) {
+		return Work{}
+	}
+	return w.times(math.Exp(-float64(now-w.at) / float64(p.cfg.Window)))
+}
+
+// Failures returns how many requests an upstream failed, as far as is known here. A peer counts those that it hears of from its
+// own peers; of what several counted, the most holds, so that nothing counts twice on its way through the fleet.
+func (p *Placer) Failures(now time.Duration, id rattanwood.UpstreamID) float64 {
+	counted := p.Own(now, id).Failures + p.others[id].Failures
+	return max(counted, p.decayed(now, p.rumours[id]).Failures, 0)
+}
+
+// Rumour takes in a peer's Failures and reports whether they are news.
+func (p *Placer) Rumour(now time.Duration, id rattanwood.UpstreamID, failures float64) bool {
+	known := p.Failures(now, id)
+	if failures > p.decayed(now, p.rumours[id]).Failures {
+		p.rumours[id] = stamped{Work: Work{Failures: failures}, at: now}
+	}
+	return failures >= known+newsLeast
+}
+
+// newsLeast is the number of failures by which a rumour must exceed what is known to be worth passing on.
+const newsLeast = 0.5
+
 // Merge takes in what a peer gave to an upstream.
-func (p *Placer) Merge(now time.Duration, vm rattanwood.VMID, id rattanwood.UpstreamID, work float64) {
+func (p *Placer) Merge(now time.Duration, vm rattanwood.VMID, id rattanwood.UpstreamID, w Work) {
 	key := reportKey{vm: vm, id: id}
-	p.others[id] += work - p.reports[key].work
-	p.reports[key] = report{work: work, at: now}
+	p.others[id] = p.others[id].plus(w).plus(p.reports[key].times(-1))
+	p.reports[key] = stamped{Work: w, at: now}
 }
 
 // Tick drops reports that are too old.
@@ -124,22 +175,53 @@
 			delete(p.reports, key)
 			continue
 		}
-		p.others[key.id] += r.work
+		p.others[key.id] = p.others[key.id].plus(r.Work)
 	}
-	for id, c := range p.own {
-		if p.decayed(now, c) < 0.01 {
+	for id := range p.own {
+		if w := p.Own(now, id); w.Requests+w.Failures < 0.01 {
 			delete(p.own, id)
 		}
 	}
+	for id, r := range p.rumours {
+		if p.decayed(now, r).Failures < 0.01 {
+			delete(p.rumours, id)
+		}
+	}
 }
 
 // Load returns the work of an upstream as far as it is known here.
-func (p *Placer) Load(now time.Duration, id rattanwood.UpstreamID) float64 {
-	return p.decayed(now, p.own[id]) + max(p.others[id], 0)
+func (p *Placer) Load(now time.Duration, id rattanwood.UpstreamID) Work {
+	return Work{Requests: max(p.Own(now, id).plus(p.others[id]).Requests, 0), Failures: p.Failures(now, id)}
 }
 
-func (p *Placer) relative(now time.Duration, c Candidate) float64 {
-	return p.Load(now, c.ID) / c.Capacity
+// chance is the number of failures of an upstream that may be chance, such as a Caller that gave up,
+// and usual is how many times the failures of its service's mean are no more than that.
+const (
+	chance = 0.2
+	usual  = 2
+)
+
+// weigh returns the load of each candidate for one of its slots, with its failures, and the mean without them.
+func (p *Placer) weigh(now time.Duration, candidates []Candidate) (loads []float64, mean float64) {
+	loads = make([]float64, len(candidates))
+	works := make([]Work, len(candidates))
+	var total Work
+	capacity := 0.0
+	for i, c := range candidates {
+		works[i] = p.Load(now, c.ID)
+		total = total.plus(works[i])
+		capacity += c.Capacity
+	}
+	rate := 0.0
+	if total.Requests > 0 {
+		rate = total.Failures / total.Requests
+	}
+	price := max(p.cfg.FailureWork, total.Requests/float64(len(candidates)))
+	for i, c := range candidates {
+		excess := max(works[i].Failures-chance-usual*rate*works[i].Requests, 0)
+		loads[i] = (works[i].Requests + price*excess) / c.Capacity
+	}
+	return loads, total.Requests / capacity
 }
 
 // Pick returns an index into candidates, or -1 if there are none.
@@ -147,30 +229,27 @@
 	if len(candidates) == 0 {
 		return -1
 	}
+	loads, mean := p.weigh(now, candidates)
 	var local []int
-	var work, capacity float64
 	all := make([]int, len(candidates))
 	for i, c := range candidates {
 		all[i] = i
 		if c.Local {
 			local = append(local, i)
 		}
-		work += p.Load(now, c.ID)
-		capacity += c.Capacity
 	}
 	if len(local) > 0 {
-		best := p.twoChoices(now, candidates, local)
+		best := p.twoChoices(loads, local)
 		// A new flow's own work keeps the bound from biting while hardly anything runs.
-		bound := (1+p.cfg.Excess)*work/capacity + p.cfg.OpenWork/candidates[best].Capacity
-		if p.relative(now, candidates[best]) <= bound {
+		if loads[best] <= (1+p.cfg.Excess)*mean+p.cfg.OpenWork/candidates[best].Capacity {
 			return best
 		}
 	}
-	return p.twoChoices(now, candidates, all)
+	return p.twoChoices(loads, all)
 }
 
 // twoChoices returns the less loaded of two different members of from, which is not empty.
-func (p *Placer) twoChoices(now time.Duration, candidates []Candidate, from []int) int {
+func (p *Placer) twoChoices(loads []float64, from []int) int {
 	i := p.cfg.Random.IntN(len(from))
 	a := from[i]
 	if len(from) == 1 {
@@ -181,7 +260,7 @@
 		j++
 	}
 	b := from[j]
-	if p.relative(now, candidates[b]) < p.relative(now, candidates[a]) {
+	if loads[b] < loads[a] {
 		return b
 	}
 	return a
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -1,7 +1,10 @@
 package placer_test
 
 import (
+	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,11 +21,17 @@
 	flows      map[rattanwood.UpstreamID]int
 	random     *rand.Rand
 	now        time.Duration
+	// placed and total count the flows that were ever opened.
+	placed map[rattanwood.UpstreamID]int
+	total  int
+	// failing is the part of its requests that an upstream fails.
+	failing func(rattanwood.UpstreamID) float64
 }
 
 // newFleet returns nodes in the data centres of centres, before upstreams with two slots each.
 func newFleet(centres []int, upstreams []int) *fleet {
-	f := &fleet{flows: map[rattanwood.UpstreamID]int{}, random: rand.New(rand.NewPCG(7, 7))}
+	f := &fleet{flows: map[rattanwood.UpstreamID]int{}, placed: map[rattanwood.UpstreamID]int{}, random: rand.New(rand.NewPCG(7, 7))}
+	f.failing = func(rattanwood.UpstreamID) float64 { return 0 }
 	for i, centre := range centres {
 		f.nodes = append(f.nodes, placer.New(placer.DefaultConfig(rand.New(rand.NewPCG(uint64(i), 1)))))
 		var cs []placer.Candidate
@@ -39,23 +48,36 @@
 	id := f.candidates[node][f.nodes[node].Pick(f.now, f.candidates[node])].ID
 	f.nodes[node].Open(f.now, id)
 	f.flows[id]++
+	f.placed[id]++
+	f.total++
 	return id
 }
 
-// second lets every flow send a request through any node, and the nodes report.
+// second lets every flow send a request through any node, and the nodes report. Requests that fail
+// end their flows, and their Callers open others.
 func (f *fleet) second() {
 	f.now += time.Second
-	for id, n := range f.flows {
-		for range n {
-			f.nodes[f.random.IntN(len(f.nodes))].Request(f.now, id)
+	again := 0
+	for _, id := range slices.Sorted(maps.Keys(f.flows)) {
+		for range f.flows[id] {
+			node := f.nodes[f.random.IntN(len(f.nodes))]
+			node.Request(f.now, id)
+			if f.random.Float64() < f.failing(id) {
+				node.Fail(f.now, id)
+				f.flows[id]--
+				again++
+			}
 		}
 	}
+	for range again {
+		f.place(f.random.IntN(len(f.nodes)))
+	}
 	for i, from := range f.nodes {
 		for _, c := range f.candidates[i] {
-			for j, to := range f.nodes {
-				if i != j {
-					to.Merge(f.now, rattanwood.VMID(rune('a'+i)), c.ID, from.Own(f.now, c.ID))
-				}
+			work, failures := from.Own(f.now, c.ID), from.Failures(f.now, c.ID)
+			for _, j := range f.neighbours(i) {
+				f.nodes[j].Merge(f.now, rattanwood.VMID(fmt.Sprint(i)), c.ID, work)
+				f.nodes[j].Rumour(f.now, c.ID, failures)
 			}
 		}
 	}
@@ -64,6 +86,19 @@
 	}
 }
 
+// neighbours returns the nodes that hear a node: those at distances that are powers of two.
+func (f *fleet) neighbours(i int) []int {
+	var out []int
+	n := len(f.nodes)
+	for d := 1; d <= n/2; d *= 2 {
+		out = append(out, (i+d)%n)
+		if (i+d)%n != (i-d+n)%n {
+			out = append(out, (i-d+n)%n)
+		}
+	}
+	return out
+}
+
 func (f *fleet) worst() (most, total int) {
 	for _, n := range f.flows {
 		most, total = max(most, n), total+n
@@ -140,14 +175,76 @@
 	c.Assert(f.flows[10] <= 100*2/10+12, qt.IsTrue, qt.Commentf("%d of 100 new flows", f.flows[10]))
 }
 
+// TestFailingUpstreamsAreNoBlackHole answers upstreams whose status checks are good while they fail some or all of
+// their requests: as their flows end at the first failure, they look emptier than the others.
+func TestFailingUpstreamsAreNoBlackHole(t *testing.T) {
+	const upstreams, ill, nodes, flows = 20, 3, 48, 40
+	tests := map[string]struct {
+		// part is what the ill fail, and others what the others fail.
+		part, others float64
+		// most is the largest share of the flows that the ill may be given, of a fair share.
+		most float64
+	}{
+		"all requests":                {1, 0, 0.25},
+		"two of five":                 {0.4, 0, 0.25},
+		"all, and chance elsewhere":   {1, 0.01, 0.25},
+		"everybody fails two of five": {0.4, 0.4, 1.5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(make([]int, nodes), make([]int, upstreams))
+			play := func(seconds int) {
+				for range seconds {
+					for range flows {
+						f.place(f.random.IntN(nodes))
+					}
+					f.second()
+				}
+			}
+			given := func() int { return f.placed[1] + f.placed[2] + f.placed[3] }
+			play(5)
+			f.failing = func(id rattanwood.UpstreamID) float64 {
+				if id <= ill {
+					return test.part
+				}
+				return test.others
+			}
+			play(2)
+			before, total := given(), f.total
+			play(5)
+			got := float64(given()-before) / float64(f.total-total) * upstreams / ill
+			t.Logf("%.2f of a fair share", got)
+			c.Assert(got < test.most, qt.IsTrue, qt.Commentf("%.2f of a fair share", got))
+		})
+	}
+}
+
+// TestChanceFailuresDontUnbalance answers a change of the fabric's hash, after which requests under way go on
+// through other balancers and seem unanswered.
+func TestChanceFailuresDontUnbalance(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet([]int{0, 0, 0, 0, 0, 0}, make([]int, 20))
+	f.failing = func(rattanwood.UpstreamID) float64 { return 0.05 }
+	for range 12 {
+		for range 12 {
+			f.place(f.random.IntN(len(f.nodes)))
+		}
+		f.second()
+	}
+	most, total := f.worst()
+	mean := float64(total) / 20
+	c.Assert(float64(most) < 1.6*mean, qt.IsTrue, qt.Commentf("most %d, mean %.1f", most, mean))
+}
+
 func TestReportsAgeOut(t *testing.T) {
 	c := qt.New(t)
 	p := placer.New(placer.DefaultConfig(rand.New(rand.NewPCG(1, 1))))
-	p.Merge(time.Second, "a", 1, 10)
-	p.Merge(2*time.Second, "a", 1, 4)
-	p.Merge(2*time.Second, "b", 1, 3)
-	c.Assert(p.Load(2*time.Second, 1), qt.Equals, 7.0)
+	p.Merge(time.Second, "a", 1, placer.Work{Requests: 10, Failures: 2})
+	p.Merge(2*time.Second, "a", 1, placer.Work{Requests: 4})
+	p.Merge(2*time.Second, "b", 1, placer.Work{Requests: 3, Failures: 1})
+	c.Assert(p.Load(2*time.Second, 1), qt.Equals, placer.Work{Requests: 7, Failures: 1})
 	p.Tick(7 * time.Second)
-	c.Assert(p.Load(7*time.Second, 1), qt.Equals, 0.0)
+	c.Assert(p.Load(7*time.Second, 1), qt.Equals, placer.Work{})
 	c.Assert(p.Pick(0, nil), qt.Equals, -1)
 }
--- a/tagger/dump.go
+++ b/tagger/dump.go
@@ -18,7 +18,8 @@
 	Draining bool                  `json:"draining"`
 	Avoid    bool                  `json:"avoid"`
 	Dead     bool                  `json:"dead"`
-	Load     float64               `json:"load"`
+	Requests float64               `json:"requests"`
+	Failures float64               `json:"failures"`
 }
 
 // FlowRow is a recent flow in a dump.
@@ -45,9 +46,10 @@
 func (t *Tagger) Upstreams(now time.Duration) []UpstreamRow {
 	rows := []UpstreamRow{}
 	for id, u := range t.upstreams {
+		load := t.cfg.Placer.Load(now, id)
 		rows = append(rows, UpstreamRow{
 			ID: id.String(), Service: u.Service, Address: u.Address.String(), Centre: u.DataCentre, Present: u.present, Draining: u.Draining,
-			Avoid: t.cfg.Prober.Avoid(now, id), Dead: t.cfg.Prober.Dead(id), Load: t.cfg.Placer.Load(now, id),
+			Avoid: t.cfg.Prober.Avoid(now, id), Dead: t.cfg.Prober.Dead(id), Requests: load.Requests, Failures: load.Failures,
 		})
 	}
 	slices.SortFunc(rows, func(a, b UpstreamRow) int { return cmp.Compare(a.ID, b.ID) })
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -25,6 +25,9 @@
 	// packet is the first one while the flow is opening.
 	packet []byte
 	at     time.Duration
+	// stage is that of the last request, askedAck its acknowledgement number, and acked the newest one.
+	stage           stage
+	askedAck, acked uint32
 }
 
 func (t *Tagger) remember(now time.Duration, s rattanwood.Segment, id rattanwood.UpstreamID, packet []byte) {
@@ -45,6 +48,7 @@
 		r = &recentFlow{upstream: s.Tag, segment: rattanwood.Segment{Caller: s.Caller, Target: s.Target, Flags: s.Flags}}
 		t.recent[key] = r
 	}
+	t.progress(now, key, r, s)
 	r.opening, r.packet, r.at, r.segment.Ack = false, nil, now, s.Ack
 	switch {
 	case s.Flags.Has(rattanwood.FlagReset), s.Flags.Has(rattanwood.FlagClose):
@@ -95,6 +99,7 @@
 		t.counts[Reset][Dead]++
 		out = append(out, Emission{Verdict: Verdict{Action: Reset, Reason: Dead}, Segment: r.segment})
 		delete(t.recent, key)
+		delete(t.pending, key)
 	}
 	byCaller(out)
 	return out
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -162,6 +162,11 @@
 	upstreams map[rattanwood.UpstreamID]*upstream
 	services  map[rattanwood.ServiceID][]*upstream
 	recent    map[flowKey]*recentFlow
+	// pending are the recent flows whose last request is still to be judged.
+	pending map[flowKey]*recentFlow
+	// sizes are those of the answers by route, and failures the requests that failed since Judge returned them.
+	sizes     map[netip.AddrPort]*sizes
+	failures  []Failure
 	unknown   map[rattanwood.UpstreamID]time.Duration
 	confirmed time.Duration
 	sure      bool
@@ -181,6 +186,8 @@
 		upstreams: map[rattanwood.UpstreamID]*upstream{},
 		services:  map[rattanwood.ServiceID][]*upstream{},
 		recent:    map[flowKey]*recentFlow{},
+		pending:   map[flowKey]*recentFlow{},
+		sizes:     map[netip.AddrPort]*sizes{},
 		unknown:   map[rattanwood.UpstreamID]time.Duration{},
 	}
 }
@@ -210,6 +217,7 @@
 	for i := range r.Routes {
 		t.routes[r.Routes[i].Address] = &r.Routes[i]
 	}
+	t.forgetSizes()
 	return true
 }
 
