--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -20,8 +20,9 @@
 	// callSlack bounds an answer as a whole beyond the wait that was asked for: a megabyte takes as long on a link
 	// of 10 Mbit/s that is shared by two.
 	callSlack = 2 * time.Second
-	// gatherTime is the pause after a change, so that changes in quick succession cost one call.
-	gatherTime = 200 * time.Millisecond
+	// gatherTime is the pause after a change, so that changes in quick succession cost one call and one
+	// round of heartbeats: an eighth of the shortest time in which a change must be in force.
+	gatherTime = 375 * time.Millisecond
 	// confirmSlack is how old an answer may be when it arrives.
 	confirmSlack = 250 * time.Millisecond
 	// pagesMost bounds a listing, against a source that always has more.
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -68,8 +68,10 @@
 // DefaultConfig returns the periods that the daemon uses.
 func DefaultConfig() Config {
 	return Config{
-		LocalPeriod:   time.Second,
-		RemotePeriod:  3 * time.Second,
+		LocalPeriod: time.Second,
+		// What is cut off from one data centre only is found by the packets that go there; where nobody sends any, it
+		// doesn't matter.
+		RemotePeriod:  9 * time.Second,
 		RecheckPeriod: 3 * time.Second,
 		// A Caller repeats a packet after 200 ms; the second repetition is no further evidence.
 		HintPause:   300 * time.Millisecond,
