--- a/internal/cli/balancer.go
+++ b/internal/cli/balancer.go
@@ -28,9 +28,14 @@
 // dumpDeadline bounds the wait for a process's state.
 const dumpDeadline = 5 * time.Second
 
-// tagGarbage is the garbage, in percent of the live heap, at which it is collected with the affinity tag: a
-// balancer without a table of flows has a heap of a megabyte or two, and processor time to spare.
-const tagGarbage = 25
+const (
+	// tagGarbage is the garbage, in percent of the live heap, at which it is collected with the affinity tag: a
+	// balancer without a table of flows has a heap of a megabyte or two, and processor time to spare.
+	tagGarbage = 25
+	// tagGarbageAfter is how long it isn't collected that early after a start: a collection takes as long as all
+	// else that a slow machine does until it forwards.
+	tagGarbageAfter = 3 * time.Second
+)
 
 // balancerCommands is the command line of rattanwood.
 type balancerCommands struct {
@@ -81,7 +86,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	if set.Affinity == settings.Tag {
-		debug.SetGCPercent(tagGarbage)
+		time.AfterFunc(tagGarbageAfter, func() { debug.SetGCPercent(tagGarbage) })
 		n, err := node.New(node.Config{
 			Settings: set, File: c.Settings, Life: life, Log: log,
 			Source: platform.NewStore(platform.Config{Address: netip.MustParseAddrPort(set.Platform), Stall: node.SourceStall}), Interpreter: platform.Interpreter{},
