Add an experiment tool to the stand-ins, and failing upstreams to the soak

Change: `standin load` plays faults at set seconds (--fault kill@5) under a load of any size and mix and prints answered, failed, p50 and p99 of each second with a plot; the soak gets the kind "ill". Callers acknowledge answers and end flows that they give up, as the users' do. A regression is played with the kinds of its time, so that its schedule stays. Also: upstreams are sorted by service once after a listing, not at each registration (n times n log n for n upstreams), and messenger uses rattanwood.RecordError instead of a type of the same shape. Ruled out: a second set of stand-ins for experiments. No decision of the balancer changes.

--- a/messenger/packer.go
+++ b/messenger/packer.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"compress/flate"
-	"fmt"
 	"io"
 
 	"example.org/rattanwood"
@@ -17,18 +16,6 @@
 	valueMost = 1 << 20
 )
 
-// RecordError reports a record of a peer that can't be unpacked.
-type RecordError struct {
-	Key   string
-	Cause error
-}
-
-// Error names the record and the cause.
-func (e *RecordError) Error() string { return fmt.Sprintf("record %s of a peer: %v", e.Key, e.Cause) }
-
-// Unwrap returns the cause.
-func (e *RecordError) Unwrap() error { return e.Cause }
-
 // Packer turns records into messages. It keeps compressed values, since many peers
 // ask for the same ones. It isn't safe for concurrent use.
 type Packer struct {
@@ -70,7 +57,7 @@
 	return buf.Bytes()
 }
 
-// Decode returns the records of a message, or a RecordError.
+// Decode returns the records of a message, or a rattanwood.RecordError.
 func Decode(records []*wire.Record) ([]rattanwood.Record, error) {
 	out := make([]rattanwood.Record, len(records))
 	for i, r := range records {
@@ -83,7 +70,7 @@
 			err = io.ErrShortBuffer
 		}
 		if err != nil {
-			return nil, &RecordError{Key: r.GetKey(), Cause: err}
+			return nil, &rattanwood.RecordError{Key: r.GetKey(), Reason: "packed", Cause: err}
 		}
 		out[i].Value = value
 	}
--- a/messenger/packer_test.go
+++ b/messenger/packer_test.go
@@ -44,7 +44,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			_, err := messenger.Decode([]*wire.Record{r})
-			var bad *messenger.RecordError
+			var bad *rattanwood.RecordError
 			c.Assert(errors.As(err, &bad), qt.IsTrue)
 			c.Assert(bad.Key, qt.Equals, r.GetKey())
 		})
--- a/standins/cmd/standin/main.go
+++ b/standins/cmd/standin/main.go
@@ -24,7 +24,8 @@
 	Upstream upstream.Config `cmd:"" help:"Run one upstream."`
 	Caller   caller.Config   `cmd:"" help:"Open flows and send requests."`
 	Demo     runner.Config   `cmd:"" help:"Run everything and report."`
-	Soak     soaker.Config   `cmd:"" help:"Run balancers with tags through random faults and check the promises."`
+	Soak     soaker.Soak     `cmd:"" help:"Run balancers with tags through random faults and check the promises."`
+	Load     soaker.Load     `cmd:"" help:"Put a load with set faults on balancers with tags and print what Callers got in each second."`
 }
 
 func main() {
@@ -34,7 +35,7 @@
 func run() int {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	chosen := kong.Parse(&commands{}, kong.Name("standin"), kong.BindTo(ctx, (*context.Context)(nil)))
+	chosen := kong.Parse(&commands{}, kong.Name("standin"), kong.Vars{"kinds": soaker.Kinds()}, kong.BindTo(ctx, (*context.Context)(nil)))
 	if err := chosen.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
--- a/standins/soaker/caller.go
+++ b/standins/soaker/caller.go
@@ -18,6 +18,8 @@
 	firstWait = 200 * time.Millisecond
 	// requestLimit is the time that a Caller gives a request.
 	requestLimit = time.Second
+	// mixParts is the number of Callers among which the mix of services is kept.
+	mixParts = 12
 	// flowRequests is the number of requests of a flow.
 	flowRequests = 12
 )
@@ -43,8 +45,8 @@
 
 const (
 	answered outcome = iota
-	// notOpened tries certainly did not run.
-	notOpened
+	// failed tries were answered with an error.
+	failed
 	unknown
 )
 
@@ -80,31 +82,34 @@
 	defer func() { _ = c.conn.Close() }()
 	for n := 0; ctx.Err() == nil; {
 		address := addressSwap
-		if c.n%3 == 0 {
+		if float64(c.n%mixParts) < c.w.cfg.Maps*mixParts {
 			address = addressMaps
 		}
+		began := time.Now()
 		f := c.open(ctx, address)
 		if ctx.Err() != nil {
 			return
 		}
 		if f == nil {
-			c.w.count(false)
+			c.w.count(false, time.Since(began))
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
 		for range flowRequests {
 			n++
 			id := fmt.Sprintf("%d-%d", c.n, n)
+			asked := time.Now()
 			result := f.request(ctx, id)
 			if ctx.Err() != nil {
 				// The soak is over, and nobody waits for this answer.
 				return
 			}
-			c.w.count(result == answered)
+			c.w.count(result == answered, time.Since(asked))
 			if result != answered || f.ended {
 				break
 			}
-			time.Sleep(time.Duration(20+c.random.IntN(60)) * time.Millisecond)
+			// Between 0.4 and 1.6 times the mean.
+			time.Sleep(time.Duration(float64(c.w.cfg.Pause) * (0.4 + 1.2*c.random.Float64()) * float64(time.Millisecond)))
 		}
 	}
 }
@@ -167,10 +172,15 @@
 			f.seq += uint32(len(id))
 			f.ack += uint32(len(a.Data))
 			f.ended = a.Flags.Has(rattanwood.FlagClose)
+			f.send(rattanwood.Segment{Flags: rattanwood.FlagAck, Seq: f.seq, Ack: f.ack}, "")
+			if len(a.Data) < answerSize {
+				return failed
+			}
 			return answered
 		}
 	}
 	f.ended = true
+	f.send(rattanwood.Segment{Flags: rattanwood.FlagAck | rattanwood.FlagClose, Seq: f.seq, Ack: f.ack}, "")
 	return unknown
 }
 
--- a/standins/soaker/regressions.go
+++ b/standins/soaker/regressions.go
@@ -4,11 +4,13 @@
 // processes is not, so that a cause also has a test without processes.
 type regression struct {
 	seed uint64
+	// kinds is the number of kinds of events that there were.
+	kinds int
 	// cause says what was wrong, and names the test.
 	cause string
 }
 
 // regressions are played first by each run.
 var regressions = []regression{
-	{44, "a paused node opened flows from its buffer whose copies had opened elsewhere: tagger TestWakingNodeOpensNothing"},
+	{44, 11, "a paused node opened flows from its buffer whose copies had opened elsewhere: tagger TestWakingNodeOpensNothing"},
 }
--- a/standins/soaker/schedule.go
+++ b/standins/soaker/schedule.go
@@ -23,11 +23,26 @@
 	run  func(ctx context.Context) error
 }
 
-// draws make events, with equal chances. They take what the event acts on; without anything to act on
-// there is no event.
-var draws = []func(s *soak) (event, bool){
-	(*soak).drawKill, (*soak).drawPause, (*soak).drawStop, (*soak).drawReload, (*soak).drawKillAll, (*soak).drawStore,
-	(*soak).drawStoreLink, (*soak).drawCrash, (*soak).drawDrain, (*soak).drawLink, (*soak).drawRoute,
+// draw makes a kind of event and takes what that acts on; without anything to act on there is no event.
+type draw struct {
+	name string
+	make func(s *soak) (event, bool)
+}
+
+// draws have equal chances. New kinds go to the end, since a regression is played with the kinds of its time.
+var draws = []draw{
+	{"kill", (*soak).drawKill},
+	{"pause", (*soak).drawPause},
+	{"stop", (*soak).drawStop},
+	{"reload", (*soak).drawReload},
+	{"herd", (*soak).drawKillAll},
+	{"store", (*soak).drawStore},
+	{"storelink", (*soak).drawStoreLink},
+	{"crash", (*soak).drawCrash},
+	{"drain", (*soak).drawDrain},
+	{"link", (*soak).drawLink},
+	{"route", (*soak).drawRoute},
+	{"ill", (*soak).drawIll},
 }
 
 // onNode makes an event that acts on a balancer which no other event acts on.
@@ -194,6 +209,15 @@
 	}}, true
 }
 
+func (s *soak) drawIll() (event, bool) {
+	hang, d := s.random.IntN(2) == 0, s.span(1000, 5000)
+	return s.onUpstream(fmt.Sprintf("requests fail, hang %v, for %v at", hang, d), false, func(ctx context.Context, b *back) {
+		b.turn(ill{mute: hang, short: !hang})
+		pauseFor(ctx, d)
+		b.turn(ill{})
+	})
+}
+
 func (s *soak) span(least, most int) time.Duration {
 	return time.Duration(least+s.random.IntN(most-least+1)) * time.Millisecond
 }
@@ -203,7 +227,7 @@
 	group, working := errgroup.WithContext(ctx)
 	for end := time.Now().Add(time.Duration(s.cfg.Seconds) * time.Second); time.Now().Before(end) && working.Err() == nil; {
 		pauseFor(working, s.span(int(gapLeast.Milliseconds()), int(gapMost.Milliseconds())))
-		e, ok := draws[s.random.IntN(len(draws))](s)
+		e, ok := draws[s.random.IntN(s.kinds)].make(s)
 		if !ok {
 			continue
 		}
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -24,17 +24,24 @@
 	"example.org/rattanwood/standins/launcher"
 )
 
-// Config is the command line of a soak.
+// Config is what soaks and experiments have in common.
 type Config struct {
-	Bin     string `help:"Program of the balancer." required:""`
-	Seed    uint64 `help:"First seed." default:"1"`
-	Seeds   int    `help:"Number of seeds, one after the other." default:"1"`
-	Seconds int    `help:"Seconds of faults for each seed." default:"10"`
-	Nodes   int    `help:"Number of balancers." default:"6"`
-	Callers int    `help:"Number of Callers." default:"24"`
-	Slot    int    `help:"Loopback network 127.N, so that several soaks can run side by side." default:"60"`
-	Again   bool   `help:"Play the seeds that once failed first."`
-	Keep    bool   `help:"Keep the logs of soaks that pass as well."`
+	Bin     string  `help:"Program of the balancer." required:""`
+	Seed    uint64  `help:"Seed, the first one if there are several." default:"1"`
+	Seconds int     `help:"Seconds of load with faults." default:"10"`
+	Nodes   int     `help:"Number of balancers." default:"6"`
+	Callers int     `help:"Number of Callers." default:"24"`
+	Pause   int     `help:"Mean pause of a Caller between two requests in milliseconds." default:"50"`
+	Maps    float64 `help:"Part of the Callers that ask the second service." default:"0.33"`
+	Slot    int     `help:"Loopback network 127.N, so that several runs can go on side by side." default:"60"`
+	Keep    bool    `help:"Keep the logs also if no promise is broken."`
+}
+
+// Soak is the command line of a soak.
+type Soak struct {
+	Config
+	Seeds int  `help:"Number of seeds, one after the other." default:"1"`
+	Again bool `help:"Play the seeds that once failed first."`
 }
 
 // UnreadyError reports a fleet that never got ready.
@@ -56,25 +63,26 @@
 func (e *BrokenError) Error() string { return fmt.Sprintf("promises broken with seeds %v", e.Seeds) }
 
 // Run plays the seeds and fails with a BrokenError if a promise was broken.
-func (c *Config) Run(ctx context.Context) error {
+func (c *Soak) Run(ctx context.Context) error {
 	bin, err := filepath.Abs(c.Bin)
 	if err != nil {
 		return err
 	}
-	var seeds, broken []uint64
+	var plays []regression
 	if c.Again {
-		for _, r := range regressions {
-			fmt.Printf("seed %d is played again: %s\n", r.seed, r.cause)
-			seeds = append(seeds, r.seed)
-		}
+		plays = append(plays, regressions...)
 	}
 	for i := range c.Seeds {
-		seeds = append(seeds, c.Seed+uint64(i))
+		plays = append(plays, regression{seed: c.Seed + uint64(i), kinds: len(draws)})
 	}
-	for _, seed := range seeds {
-		cfg := *c
-		cfg.Bin, cfg.Seed = bin, seed
-		ok, err := play(ctx, cfg)
+	var broken []uint64
+	for _, r := range plays {
+		if r.cause != "" {
+			fmt.Printf("seed %d is played again: %s\n", r.seed, r.cause)
+		}
+		cfg := c.Config
+		cfg.Bin, cfg.Seed = bin, r.seed
+		ok, err := play(ctx, cfg, r.kinds)
 		if err != nil {
 			return err
 		}
@@ -91,6 +99,8 @@
 // soak is one seed in play. Only the schedule uses it.
 type soak struct {
 	*world
+	// kinds is the number of draws to choose from.
+	kinds     int
 	random    *rand.Rand
 	processes *launcher.Launcher
 	nodes     []*nodeProcess
@@ -124,49 +134,72 @@
 
 func (s *soak) ip(net, host int) string { return fmt.Sprintf("127.%d.%d.%d", s.cfg.Slot, net, host) }
 
-// play runs one seed and reports whether every promise was kept.
-func play(ctx context.Context, cfg Config) (ok bool, err error) {
-	dir, err := os.MkdirTemp("", fmt.Sprintf("rattanwood-soak-%d-", cfg.Seed))
+// play runs one seed with the first kinds of events and reports whether every promise was kept.
+func play(ctx context.Context, cfg Config, kinds int) (ok bool, err error) {
+	s, err := newSoak(cfg)
 	if err != nil {
 		return false, err
 	}
-	s := &soak{
+	s.kinds = kinds
+	if err := s.serve(ctx, s.schedule); err != nil {
+		return false, err
+	}
+	return s.conclude(), nil
+}
+
+// newSoak returns a soak without processes; their logs go to a directory of its own.
+func newSoak(cfg Config) (*soak, error) {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("rattanwood-soak-%d-", cfg.Seed))
+	if err != nil {
+		return nil, err
+	}
+	return &soak{
 		world: &world{
 			cfg: cfg, began: time.Now(), faults: map[string]time.Time{}, routes: map[string][]binding{},
 			openings: map[flowEnds]*opening{}, runs: map[string]int{},
 		},
 		random: rand.New(rand.NewPCG(cfg.Seed, 0)), processes: &launcher.Launcher{Dir: dir}, services: map[rattanwood.ServiceID][]*back{},
 		next: 0xab00000000, routesNow: map[string]rattanwood.ServiceID{},
-	}
+	}, nil
+}
+
+// serve starts everything, lets the Callers send requests until plan returns, and ends everything.
+func (s *soak) serve(ctx context.Context, plan func(context.Context) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer s.processes.StopAll()
 	if err := s.prepare(ctx); err != nil {
-		return false, err
+		return err
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	for i := range cfg.Callers {
+	for i := range s.cfg.Callers {
 		c, err := newClient(s.world, i, s.ip(50, i+1))
 		if err != nil {
-			return false, err
+			return err
 		}
 		group.Go(func() error { c.run(ctx); return nil })
 	}
-	err = s.schedule(ctx)
+	err := plan(ctx)
 	cancel()
 	err = errors.Join(err, group.Wait())
 	s.closeAll()
-	return s.conclude(dir), err
+	return err
 }
 
 // conclude prints the result; the logs stay if a promise was broken.
-func (s *soak) conclude(dir string) bool {
+func (s *soak) conclude() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if total := s.lateGood + s.lateBad; float64(s.lateGood) < wellShare*float64(total) || total == 0 {
 		s.report("not well again after the last fault", fmt.Sprintf("%d of %d requests answered", s.lateGood, total))
 	}
 	fmt.Printf("seed %d: answered %d, not answered %d, broken promises %d\n", s.cfg.Seed, s.good, s.bad, len(s.broken))
+	return s.tidy()
+}
+
+// tidy removes the logs, unless a promise was broken, and reports whether none was; mu is held.
+func (s *soak) tidy() bool {
+	dir := s.processes.Dir
 	if len(s.broken) > 0 || s.cfg.Keep {
 		for _, line := range append(s.events, s.broken...) {
 			fmt.Println("  " + line)
--- a/standins/soaker/upstream.go
+++ b/standins/soaker/upstream.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -46,6 +47,22 @@
 	flows    map[flowEnds]*backFlow
 	draining time.Time
 	dead     bool
+	ill      ill
+}
+
+// ill is how an upstream fails requests while its status is good.
+type ill struct {
+	// mute upstreams give no answer, and short ones an error.
+	mute, short bool
+}
+
+// answerSize is the size of an answer in bytes, and that of an error is a few.
+const answerSize = 600
+
+func (b *back) turn(to ill) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ill = to
 }
 
 type backFlow struct {
@@ -165,7 +182,7 @@
 		go b.w.checkStray(b, key)
 		b.reply(key, rattanwood.Segment{Flags: rattanwood.FlagReset, Seq: p.Ack, Tag: p.Tag}, "")
 	default:
-		f.open, f.tag = true, p.Tag
+		f.open, f.tag, f.closed = true, p.Tag, p.Flags.Has(rattanwood.FlagClose)
 		if p.Data != "" {
 			b.answer(key, f, p)
 		}
@@ -178,8 +195,14 @@
 	if !done {
 		b.w.ran(p.Data)
 		data = p.Data + "|" + b.name()
+		if !b.ill.short {
+			data += strings.Repeat(" ", answerSize)
+		}
 		f.answers[p.Seq] = data
 	}
+	if b.ill.mute {
+		return
+	}
 	flags := rattanwood.FlagAck
 	if !b.draining.IsZero() {
 		flags |= rattanwood.FlagClose
--- a/standins/soaker/world.go
+++ b/standins/soaker/world.go
@@ -54,6 +54,8 @@
 	lateGood int
 	lateBad  int
 	began    time.Time
+	// tally counts the requests by second.
+	tally tally
 }
 
 // opening is when a Caller began a flow, and the balancers that got its first packets.
@@ -71,7 +73,9 @@
 func (w *world) log(name string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.events = append(w.events, fmt.Sprintf("%.2f s: %s", time.Since(w.began).Seconds(), name))
+	since := time.Since(w.began)
+	w.events = append(w.events, fmt.Sprintf("%.2f s: %s", since.Seconds(), name))
+	w.tally.event(since, name)
 }
 
 // breach records a broken promise.
@@ -222,9 +226,10 @@
 	}
 }
 
-func (w *world) count(ok bool) {
+func (w *world) count(ok bool, took time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.tally.add(time.Since(w.began), ok, took)
 	switch {
 	case ok && w.settled:
 		w.lateGood++
--- a/tagger/place.go
+++ b/tagger/place.go
@@ -40,7 +40,7 @@
 // of the best kind is left, the next kind is better than a refusal.
 func (t *Tagger) pool(now time.Duration, service rattanwood.ServiceID) []*upstream {
 	var ready, failing, lapsed []*upstream
-	for _, u := range t.services[service] {
+	for _, u := range t.of(service) {
 		switch {
 		case u.present && u.Draining:
 			// Not even as a last resort: it will be gone before the flow ends.
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -161,7 +161,9 @@
 	routes    map[netip.AddrPort]*rattanwood.Route
 	upstreams map[rattanwood.UpstreamID]*upstream
 	services  map[rattanwood.ServiceID][]*upstream
-	recent    map[flowKey]*recentFlow
+	// unsorted is set when services no longer shows the upstreams.
+	unsorted bool
+	recent   map[flowKey]*recentFlow
 	// pending are the recent flows whose last request is still to be judged.
 	pending map[flowKey]*recentFlow
 	// sizes are those of the answers by route, and failures the requests that failed since Judge returned them.
@@ -239,9 +241,11 @@
 		u = &upstream{id: id}
 		t.upstreams[id] = u
 	}
+	if u.Service != r.Service {
+		t.unsorted = true
+	}
 	u.Registration, u.present, u.warm = r, true, now+r.Warmup
 	delete(t.unknown, id)
-	t.index()
 	return true
 }
 
@@ -254,8 +258,17 @@
 	u.present, u.vanished = false, now
 }
 
-// index sorts the upstreams by service.
-func (t *Tagger) index() {
+// of returns the upstreams of a service in the order of their ids. They are sorted when they are first asked for after
+// a change, so that a listing of all of them is sorted once.
+func (t *Tagger) of(service rattanwood.ServiceID) []*upstream {
+	if t.unsorted {
+		t.sort()
+	}
+	return t.services[service]
+}
+
+func (t *Tagger) sort() {
+	t.unsorted = false
 	clear(t.services)
 	for _, u := range t.upstreams {
 		t.services[u.Service] = append(t.services[u.Service], u)
@@ -297,7 +310,7 @@
 		if !u.present && now-u.vanished > t.cfg.KeepTime {
 			delete(t.upstreams, id)
 			t.cfg.Prober.Remove(id)
-			t.index()
+			t.unsorted = true
 		}
 	}
 	for id, since := range t.unknown {
