Scale reported work by the part of each data centre that reports

A node hears a quarter of its own data centre's nodes and a twentieth of the others', so that upstreams near it look four times as busy as far ones. Change: a report counts for as many balancers of its data centre as there are for each that reports. Small fleets, which hear all, aren't changed.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,7 +109,9 @@
 	}
 	n.watch = watcher.New(watcherConfig(settings.Duration(set.Times.Apply), n.talk.Reader(), random))
 	n.checks = prober.New(prober.DefaultConfig())
-	n.loads = placer.New(placer.DefaultConfig(random))
+	loads := placer.DefaultConfig(random)
+	loads.DataCentre = rattanwood.DataCentre(set.Centre)
+	n.loads = placer.New(loads)
 	t := tagger.DefaultConfig()
 	t.DataCentre = rattanwood.DataCentre(set.Centre)
 	t.Random, t.Placer, t.Prober = random, n.loads, n.checks
@@ -277,7 +279,7 @@
 		n.talk.Tick(now, n.knowledge)
 		if now-swept >= sweepPeriod {
 			swept = now
-			n.loads.Tick(now)
+			n.loads.Tick(now, n.talk.Sizes())
 			n.flows.Sweep(now)
 		}
 		due := n.checks.Due(now, n.duty)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -97,7 +97,7 @@
 		n.confirm(now, watcher.Confirmation{Reader: news.Reader, Seq: news.Seq, At: now - news.Age})
 	}
 	for _, l := range news.Loads {
-		n.loads.Merge(now, news.From, l.Upstream, placer.Work{Requests: l.Work, Failures: l.Failures})
+		n.loads.Merge(now, news.From, news.DataCentre, l.Upstream, placer.Work{Requests: l.Work, Failures: l.Failures})
 		if n.loads.Rumour(now, l.Upstream, l.Rumour) {
 			n.spread(now)
 		}
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -86,6 +86,17 @@
 	return d.State != detector.Dead && !d.Leaving && d.DataCentre != ""
 }
 
+// Sizes returns the number of balancers in each data centre, this one included.
+func (m *Messenger) Sizes() map[rattanwood.DataCentre]int {
+	sizes := map[rattanwood.DataCentre]int{m.cfg.Detector.DataCentre: 1}
+	for _, d := range m.Members.Members() {
+		if able(d) {
+			sizes[d.DataCentre]++
+		}
+	}
+	return sizes
+}
+
 // ReaderRank returns how many balancers come before this one in taking over the reading of the source.
 func (m *Messenger) ReaderRank() int {
 	return m.rank(readerKey, func(*detector.Member) bool { return true })
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -21,6 +21,8 @@
 
 // Config builds a Placer.
 type Config struct {
+	// DataCentre is this balancer's.
+	DataCentre rattanwood.DataCentre
 	// Window is the time in which the weight of past work falls to 1/e.
 	Window time.Duration
 	// OpenWork is the work in requests that a new flow is expected to bring in a window.
@@ -83,6 +85,12 @@
 	at time.Duration
 }
 
+// report is what a peer said of its work.
+type report struct {
+	stamped
+	centre rattanwood.DataCentre
+}
+
 type reportKey struct {
 	vm rattanwood.VMID
 	id rattanwood.UpstreamID
@@ -92,9 +100,13 @@
 type Placer struct {
 	cfg     Config
 	own     map[rattanwood.UpstreamID]stamped
-	reports map[reportKey]stamped
-	// others is the sum of the peers' reports, brought up to date by Tick.
+	reports map[reportKey]report
+	// others is the sum of the peers' reports, brought up to date by Tick, with the requests of each data centre
+	// multiplied by its scale.
 	others map[rattanwood.UpstreamID]Work
+	// scales are the members of each data centre for one whose work is known. The work of far ones is known in smaller part, and
+	// the upstreams that they use would look idle.
+	scales map[rattanwood.DataCentre]float64
 	// rumours are the most failures that anybody counted, wherever in the fleet.
 	rumours map[rattanwood.UpstreamID]stamped
 }
@@ -104,9 +116,10 @@
 	return &Placer{
 		cfg:     cfg,
 		own:     map[rattanwood.UpstreamID]stamped{},
-		reports: map[reportKey]stamped{},
+		reports: map[reportKey]report{},
 		others:  map[rattanwood.UpstreamID]Work{},
 		rumours: map[rattanwood.UpstreamID]stamped{},
+		scales:  map[rattanwood.DataCentre]float64{},
 	}
 }
 
@@ -161,21 +174,42 @@
 const newsLeast = 0.5
 
 // Merge takes in what a peer gave to an upstream.
-func (p *Placer) Merge(now time.Duration, vm rattanwood.VMID, id rattanwood.UpstreamID, w Work) {
+func (p *Placer) Merge(now time.Duration, vm rattanwood.VMID, centre rattanwood.DataCentre, id rattanwood.UpstreamID, w Work) {
 	key := reportKey{vm: vm, id: id}
-	p.others[id] = p.others[id].plus(w).plus(p.reports[key].times(-1))
-	p.reports[key] = stamped{Work: w, at: now}
+	old := p.reports[key]
+	p.reports[key] = report{stamped: stamped{Work: w, at: now}, centre: centre}
+	p.others[id] = p.others[id].plus(p.scaled(w, centre)).plus(p.scaled(old.Work, old.centre).times(-1))
 }
 
-// Tick drops reports that are too old.
-func (p *Placer) Tick(now time.Duration) {
-	clear(p.others)
+func (p *Placer) scaled(w Work, centre rattanwood.DataCentre) Work {
+	w.Requests *= p.scale(centre)
+	return w
+}
+
+func (p *Placer) scale(centre rattanwood.DataCentre) float64 { return max(p.scales[centre], 1) }
+
+// Tick drops reports that are too old. Members is the number of balancers in each data centre, this one included.
+func (p *Placer) Tick(now time.Duration, members map[rattanwood.DataCentre]int) {
+	heard := map[rattanwood.DataCentre]map[rattanwood.VMID]bool{p.cfg.DataCentre: {"": true}}
 	for key, r := range p.reports {
 		if now-r.at > p.cfg.ReportAge {
 			delete(p.reports, key)
 			continue
 		}
-		p.others[key.id] = p.others[key.id].plus(r.Work)
+		if heard[r.centre] == nil {
+			heard[r.centre] = map[rattanwood.VMID]bool{}
+		}
+		heard[r.centre][key.vm] = true
+	}
+	clear(p.scales)
+	for centre, n := range members {
+		if len(heard[centre]) > 0 {
+			p.scales[centre] = float64(n) / float64(len(heard[centre]))
+		}
+	}
+	clear(p.others)
+	for key, r := range p.reports {
+		p.others[key.id] = p.others[key.id].plus(p.scaled(r.Work, r.centre))
 	}
 	for id := range p.own {
 		if w := p.Own(now, id); w.Requests+w.Failures < 0.01 {
@@ -189,9 +223,10 @@
 	}
 }
 
-// Load returns the work of an upstream as far as it is known here.
+// Load returns the work of an upstream, reckoned from the part that is known here.
 func (p *Placer) Load(now time.Duration, id rattanwood.UpstreamID) Work {
-	return Work{Requests: max(p.Own(now, id).plus(p.others[id]).Requests, 0), Failures: p.Failures(now, id)}
+	own := p.scaled(p.Own(now, id), p.cfg.DataCentre)
+	return Work{Requests: max(own.plus(p.others[id]).Requests, 0), Failures: p.Failures(now, id)}
 }
 
 // chance is the number of failures of an upstream that may be chance, such as a Caller that gave up,
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -18,9 +18,12 @@
 type fleet struct {
 	nodes      []*placer.Placer
 	candidates [][]placer.Candidate
-	flows      map[rattanwood.UpstreamID]int
-	random     *rand.Rand
-	now        time.Duration
+	// centres are those of the nodes, and members the number of nodes in each.
+	centres []int
+	members map[rattanwood.DataCentre]int
+	flows   map[rattanwood.UpstreamID]int
+	random  *rand.Rand
+	now     time.Duration
 	// placed and total count the flows that were ever opened.
 	placed map[rattanwood.UpstreamID]int
 	total  int
@@ -32,8 +35,12 @@
 func newFleet(centres []int, upstreams []int) *fleet {
 	f := &fleet{flows: map[rattanwood.UpstreamID]int{}, placed: map[rattanwood.UpstreamID]int{}, random: rand.New(rand.NewPCG(7, 7))}
 	f.failing = func(rattanwood.UpstreamID) float64 { return 0 }
+	f.centres, f.members = centres, map[rattanwood.DataCentre]int{}
 	for i, centre := range centres {
-		f.nodes = append(f.nodes, placer.New(placer.DefaultConfig(rand.New(rand.NewPCG(uint64(i), 1)))))
+		cfg := placer.DefaultConfig(rand.New(rand.NewPCG(uint64(i), 1)))
+		cfg.DataCentre = centreName(centre)
+		f.members[cfg.DataCentre]++
+		f.nodes = append(f.nodes, placer.New(cfg))
 		var cs []placer.Candidate
 		for id, at := range upstreams {
 			cs = append(cs, placer.Candidate{ID: rattanwood.UpstreamID(id + 1), Capacity: 2, Local: at == centre})
@@ -76,29 +83,41 @@
 		for _, c := range f.candidates[i] {
 			work, failures := from.Own(f.now, c.ID), from.Failures(f.now, c.ID)
 			for _, j := range f.neighbours(i) {
-				f.nodes[j].Merge(f.now, rattanwood.VMID(fmt.Sprint(i)), c.ID, work)
+				f.nodes[j].Merge(f.now, rattanwood.VMID(fmt.Sprint(i)), centreName(f.centres[i]), c.ID, work)
 				f.nodes[j].Rumour(f.now, c.ID, failures)
 			}
 		}
 	}
 	for _, n := range f.nodes {
-		n.Tick(f.now)
+		n.Tick(f.now, f.members)
 	}
 }
 
-// neighbours returns the nodes that hear a node: those at distances that are powers of two.
+// neighbours returns the nodes that hear a node: those of its data centre at distances that are powers of two,
+// and those of all at powers of four.
 func (f *fleet) neighbours(i int) []int {
-	var out []int
-	n := len(f.nodes)
-	for d := 1; d <= n/2; d *= 2 {
-		out = append(out, (i+d)%n)
-		if (i+d)%n != (i-d+n)%n {
-			out = append(out, (i-d+n)%n)
+	var all, centre []int
+	for j, c := range f.centres {
+		all = append(all, j)
+		if c == f.centres[i] {
+			centre = append(centre, j)
 		}
 	}
-	return out
+	heard := map[int]bool{}
+	circle := func(members []int, base int) {
+		n, at := len(members), slices.Index(members, i)
+		for d := 1; d <= n/2; d *= base {
+			heard[members[(at+d)%n]], heard[members[(at-d+n)%n]] = true, true
+		}
+	}
+	circle(centre, 2)
+	circle(all, 4)
+	delete(heard, i)
+	return slices.Sorted(maps.Keys(heard))
 }
 
+func centreName(i int) rattanwood.DataCentre { return rattanwood.DataCentre(fmt.Sprint("dc", i)) }
+
 func (f *fleet) worst() (most, total int) {
 	for _, n := range f.flows {
 		most, total = max(most, n), total+n
@@ -150,6 +169,43 @@
 	c.Assert(local > 240*9/10, qt.IsTrue, qt.Commentf("%d of 240 local", local))
 }
 
+// TestPartialReportsStayLocal answers a large fleet, in which a node hears of a few requests for each upstream, so that chance
+// makes some look busy: flows that leave the data centre for that are lost when it is cut off.
+func TestPartialReportsStayLocal(t *testing.T) {
+	c := qt.New(t)
+	const nodes, upstreams = 90, 90
+	centres, at := make([]int, nodes), make([]int, upstreams)
+	for i := range centres {
+		centres[i] = i % 3
+	}
+	for i := range at {
+		at[i] = i % 3
+	}
+	f := newFleet(centres, at)
+	local, total, most := 0, 0, 0
+	for second := range 12 {
+		clear(f.flows)
+		// Flows end within the second, like downloads.
+		for range 260 {
+			node := f.random.IntN(nodes)
+			id := f.place(node)
+			if second < 4 {
+				// Until there are reports, nothing can be said.
+				continue
+			}
+			total++
+			if at[id-1] == centres[node] {
+				local++
+			}
+		}
+		w, _ := f.worst()
+		most = max(most, w)
+		f.second()
+	}
+	c.Assert(float64(local) > 0.95*float64(total), qt.IsTrue, qt.Commentf("%d of %d local", local, total))
+	c.Assert(most <= 12, qt.IsTrue, qt.Commentf("%d flows of one second on an upstream, mean 2.9", most))
+}
+
 // TestNewUpstreamIsNotRushed answers scale-out and releases: an empty upstream takes no more than two choices give it.
 func TestNewUpstreamIsNotRushed(t *testing.T) {
 	c := qt.New(t)
@@ -240,11 +296,11 @@
 func TestReportsAgeOut(t *testing.T) {
 	c := qt.New(t)
 	p := placer.New(placer.DefaultConfig(rand.New(rand.NewPCG(1, 1))))
-	p.Merge(time.Second, "a", 1, placer.Work{Requests: 10, Failures: 2})
-	p.Merge(2*time.Second, "a", 1, placer.Work{Requests: 4})
-	p.Merge(2*time.Second, "b", 1, placer.Work{Requests: 3, Failures: 1})
+	p.Merge(time.Second, "a", "dc", 1, placer.Work{Requests: 10, Failures: 2})
+	p.Merge(2*time.Second, "a", "dc", 1, placer.Work{Requests: 4})
+	p.Merge(2*time.Second, "b", "dc", 1, placer.Work{Requests: 3, Failures: 1})
 	c.Assert(p.Load(2*time.Second, 1), qt.Equals, placer.Work{Requests: 7, Failures: 1})
-	p.Tick(7 * time.Second)
+	p.Tick(7*time.Second, nil)
 	c.Assert(p.Load(7*time.Second, 1), qt.Equals, placer.Work{})
 	c.Assert(p.Pick(0, nil), qt.Equals, -1)
 }
