--- a/Makefile
+++ b/Makefile
@@ -87,6 +87,12 @@
 $(BIN)/protoc-gen-go-drpc:
 	GOBIN=$(BIN) go install storj.io/drpc/cmd/protoc-gen-go-drpc@$(PROTOC_GEN_DRPC_VERSION)
 
+# Puts a load with set faults on balancers with tags and prints what Callers got, for example
+# make load FLAGS="--seconds 20 --callers 48 --fault ill@4 --fault herd@12".
+.PHONY: load
+load: build
+	$(BIN)/standin load --bin $(BIN)/rattanwood --slot $(NETWORK) $(FLAGS)
+
 # Measures the slopes that docs/CAPACITY.md works with, and the figures of the balance dial.
 .PHONY: slopes figures
 slopes:
