Don't send heartbeats through the fleet for an upstream that warms up

Change: a registration that says nothing new but its warm-up travels with the next regular heartbeat, and isn't logged.

--- a/copier/copier.go
+++ b/copier/copier.go
@@ -1,5 +1,5 @@
 // Package copier keeps a balancer's copy of the records current, from the source and from what
-// other balancers say, and decides when they hear of it.
+// other balancers say.
 //
 // A Copier has no clock, socket or goroutine and isn't safe for concurrent use.
 package copier
@@ -72,7 +72,7 @@
 	case news.Revision == held.At() && news.Confirmed && held.Whole():
 		c.confirm(now, &out, watcher.Confirmation{Reader: news.Reader, Seq: news.Seq, At: now - news.Age})
 	}
-	return c.changed(out)
+	return out
 }
 
 // Reply is what a balancer answers to one that is behind.
@@ -114,7 +114,7 @@
 	if r.Confirmed && r.Revision == c.cfg.Copy.At() {
 		c.confirm(now, &out, watcher.Confirmation{Reader: r.Reader, Seq: r.Seq, At: asked - r.Age})
 	}
-	return c.changed(out)
+	return out
 }
 
 // Listed takes in all records of the source, which were current at a time.
@@ -132,7 +132,7 @@
 	out.Confirmed = true
 	c.cfg.Watch.Read(now, out.At)
 	c.Spread(now)
-	return c.changed(out)
+	return out
 }
 
 // confirm takes in a confirmation, and lets the neighbours know soon if it is news.
@@ -143,14 +143,6 @@
 	}
 }
 
-// changed lets the neighbours know of changed records soon.
-func (c *Copier) changed(out Outcome) Outcome {
-	if len(out.Changed) > 0 {
-		c.cfg.Talk.Members.Hurry()
-	}
-	return out
-}
-
 // Spread lets the neighbours know soon of what isn't urgent, and not of each piece of news where there are many.
 func (c *Copier) Spread(now time.Duration) {
 	if now-c.spread >= c.cfg.Spread {
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -11,6 +11,7 @@
 	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
 	"example.org/rattanwood/internal/settings"
+	"example.org/rattanwood/tagger"
 )
 
 const (
@@ -138,8 +139,12 @@
 
 // apply hands changed records to the decision logic; mu is held.
 func (n *Node) apply(now time.Duration, from string, changed []rattanwood.Record) {
+	urgent := false
 	for _, r := range changed {
-		n.applyRecord(now, from, r)
+		urgent = n.applyRecord(now, from, r) || urgent
+	}
+	if urgent {
+		n.talk.Members.Hurry()
 	}
 	if n.copy.Whole() && !n.newborn && n.flows.Version() > 0 {
 		n.newborn = true
@@ -149,14 +154,15 @@
 	}
 }
 
-func (n *Node) applyRecord(now time.Duration, from string, r rattanwood.Record) {
+// applyRecord hands one record to the decision logic and reports whether neighbours should hear of it soon; mu is held.
+func (n *Node) applyRecord(now time.Duration, from string, r rattanwood.Record) (urgent bool) {
 	in, isUpstream := n.cfg.Interpreter.Instance(r.Key)
 	if r.Deleted {
 		if isUpstream {
 			n.flows.RemoveRegistration(now, in)
 			n.logBelief("upstream vanished", from, r, zap.Stringer(logger.KeyUpstream, in.Upstream()))
 		}
-		return
+		return true
 	}
 	entity, err := n.cfg.Interpreter.Interpret(r)
 	if err != nil {
@@ -171,7 +177,7 @@
 			// Whoever wrote this, the key no longer names an upstream to use.
 			n.flows.RemoveRegistration(now, in)
 		}
-		return
+		return true
 	}
 	switch e := entity.(type) {
 	case *rattanwood.Routing:
@@ -179,14 +185,20 @@
 			n.logBelief("routes in force", from, r, zap.Uint64(logger.KeyVersion, uint64(e.Version)), zap.Int("routes", len(e.Routes)), zap.Int("invalid", e.Invalid))
 		}
 	case *rattanwood.Registration:
-		if !n.flows.SetRegistration(now, *e) {
+		switch n.flows.SetRegistration(now, *e) {
+		case tagger.Known:
+			// An upstream that warms up says so with each of its heartbeats.
+			return false
+		case tagger.Clashing:
 			n.refused["record_tag"]++
 			n.log.Error("upstream not used, its tag is another's", zap.Stringer(logger.KeyUpstream, in))
-			return
+			return false
+		case tagger.Taken:
 		}
 		n.logBelief("upstream registered", from, r, zap.Stringer(logger.KeyUpstream, in.Upstream()), zap.String("service", string(e.Service)),
 			zap.Bool("draining", e.Draining), zap.Int64("warmup", e.Warmup.Milliseconds()))
 	}
+	return true
 }
 
 // logBelief logs a change of what this balancer believes.
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -127,7 +127,7 @@
 				continue
 			}
 			if reply, ok := from.copies.Reply(f.now, a.After); ok {
-				n.copies.Fetched(f.now, f.now, a.After, reply)
+				n.take(n.copies.Fetched(f.now, f.now, a.After, reply))
 			}
 		}
 	}
@@ -135,7 +135,14 @@
 
 func (f *fleet) receive(to, from *node, e *wire.Envelope) {
 	if news, ok := to.talk.Message(f.now, from.address, e); ok {
-		to.copies.Heard(f.now, &news)
+		to.take(to.copies.Heard(f.now, &news))
+	}
+}
+
+// take passes changes on at once.
+func (n *node) take(o copier.Outcome) {
+	if len(o.Changed) > 0 {
+		n.talk.Members.Hurry()
 	}
 }
 
@@ -143,7 +150,7 @@
 func (f *fleet) write(key string) {
 	prior := rattanwood.Revision(len(f.log))
 	f.log = append(f.log, rattanwood.Record{Key: key, Value: []byte(key), Revision: prior + 1})
-	f.nodes[0].copies.Watched(f.now, f.now, prior, rattanwood.Changes{Records: f.log[prior:], At: prior + 1})
+	f.nodes[0].take(f.nodes[0].copies.Watched(f.now, f.now, prior, rattanwood.Changes{Records: f.log[prior:], At: prior + 1}))
 }
 
 // behind returns the nodes that don't have the newest revision, and fails if one claims what it doesn't hold.
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -226,13 +226,33 @@
 // HealthPath returns where the upstreams of a service answer questions about themselves; empty for nowhere.
 func (t *Tagger) HealthPath(service rattanwood.ServiceID) string { return t.health[service] }
 
-// SetRegistration takes in what an upstream says of itself. It reports false if another
-// upstream has the same tag, so that this one can't be used.
-func (t *Tagger) SetRegistration(now time.Duration, r rattanwood.Registration) bool {
+// Acceptance is what became of a registration.
+type Acceptance uint8
+
+// The acceptances.
+const (
+	// Taken says something new of an upstream.
+	Taken Acceptance = iota
+	// Known says nothing new but how long the upstream is slow.
+	Known
+	// Clashing can't be used, since another upstream has the same tag.
+	Clashing
+)
+
+// SetRegistration takes in what an upstream says of itself.
+func (t *Tagger) SetRegistration(now time.Duration, r rattanwood.Registration) Acceptance {
 	id := r.Instance.Upstream()
 	u := t.upstreams[id]
 	if u != nil && u.present && u.Instance != r.Instance {
-		return false
+		return Clashing
+	}
+	accepted := Taken
+	if u != nil && u.present {
+		was := u.Registration
+		was.Warmup = r.Warmup
+		if was == r {
+			accepted = Known
+		}
 	}
 	if u == nil || u.Address != r.Address || u.Born != r.Born || !u.present {
 		t.cfg.Prober.Add(now, id)
@@ -246,7 +266,7 @@
 	}
 	u.Registration, u.present, u.warm = r, true, now+r.Warmup
 	delete(t.unknown, id)
-	return true
+	return accepted
 }
 
 // RemoveRegistration records that an upstream has vanished from the registry.
--- a/tagger/tagger_test.go
+++ b/tagger/tagger_test.go
@@ -323,7 +323,7 @@
 	c.Assert(w.follow(1, board, 2, 1).Action, qt.Equals, tagger.Reset)
 	r := registration(2)
 	r.Born = 2
-	c.Assert(w.SetRegistration(w.now, r), qt.IsTrue)
+	c.Assert(w.SetRegistration(w.now, r), qt.Equals, tagger.Taken)
 	c.Assert(w.follow(1, board, 2, 1).Action, qt.Equals, tagger.Forward)
 }
 
@@ -332,7 +332,7 @@
 	w := newWorld()
 	r := registration(2)
 	r.Instance = 0xcd<<32 | 2
-	c.Assert(w.SetRegistration(w.now, r), qt.IsFalse)
+	c.Assert(w.SetRegistration(w.now, r), qt.Equals, tagger.Clashing)
 	w.RemoveRegistration(w.now, r.Instance)
 	c.Assert(w.follow(1, board, 2, 1).Instance, qt.Equals, instance(2))
 }
@@ -379,3 +379,30 @@
 		})
 	}
 }
+
+// TestWarmingIsNoNews answers a release, in which new upstreams register again and again while they warm up: that must
+// not send heartbeats through the fleet.
+func TestWarmingIsNoNews(t *testing.T) {
+	tests := map[string]struct {
+		change func(r *rattanwood.Registration)
+		want   tagger.Acceptance
+	}{
+		"warmer":       {func(r *rattanwood.Registration) { r.Warmup = time.Second }, tagger.Known},
+		"draining":     {func(r *rattanwood.Registration) { r.Draining = true }, tagger.Taken},
+		"another life": {func(r *rattanwood.Registration) { r.Born++ }, tagger.Taken},
+		"more slots":   {func(r *rattanwood.Registration) { r.Slots++ }, tagger.Taken},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld()
+			r := registration(1)
+			test.change(&r)
+			c.Assert(w.SetRegistration(w.now, r), qt.Equals, test.want)
+		})
+	}
+	c := qt.New(t)
+	w := newWorld()
+	w.RemoveRegistration(w.now, instance(1))
+	c.Assert(w.SetRegistration(w.now, registration(1)), qt.Equals, tagger.Taken)
+}
