Carry flows on before the routes are known

Ruled out: the processors (the narrowest and the widest machines were ready at the same time); fetching from peers, which have started as well. Change: a start lists the upstreams first, which may be old and cost a tenth of a call. Tagged packets are forwarded from then on, first packets wait (1,000 at most) and are decided on once the routes are there; upstreams that the full listing no longer has are dropped. Ready says so as late as before. TestFlowsGoOnBeforeRoutes would wait for ever on the code before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,20 +67,27 @@
 	peers   *dialer.Dialer
 
 	// mu guards the decision logic below.
-	mu       sync.Mutex
-	talk     *messenger.Messenger
-	copy     *replicator.Replicator
-	watch    *watcher.Watcher
-	copies   *copier.Copier
-	flows    *tagger.Tagger
-	checks   *prober.Prober
-	loads    *placer.Placer
-	refused  map[string]uint64
-	newborn  bool
-	stalled  time.Duration
-	leaving  atomic.Bool
-	packets  atomic.Int64
+	mu      sync.Mutex
+	talk    *messenger.Messenger
+	copy    *replicator.Replicator
+	watch   *watcher.Watcher
+	copies  *copier.Copier
+	flows   *tagger.Tagger
+	checks  *prober.Prober
+	loads   *placer.Placer
+	refused map[string]uint64
+	newborn bool
+	stalled time.Duration
+	leaving atomic.Bool
+	packets atomic.Int64
+	// carried is closed, and carrying set, once flows that have begun can be carried on, and whole once
+	// all is known that new flows need as well.
+	carried  chan struct{}
+	carrying bool
 	whole    chan struct{}
+	// known are the upstreams that the records have named until whole is closed, and held the first packets that wait for it.
+	known    map[rattanwood.Instance]bool
+	held     [][]byte
 	counters counters
 	timings  timings
 
@@ -101,7 +108,9 @@
 		copy:    replicator.New(),
 		refused: map[string]uint64{},
 		timings: newTimings(),
+		carried: make(chan struct{}),
 		whole:   make(chan struct{}),
+		known:   map[rattanwood.Instance]bool{},
 	}
 	random := rand.New(rand.NewPCG(uint64(cfg.Life), 0))
 	set := cfg.Settings
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -12,7 +12,9 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -36,6 +38,8 @@
 	down  bool
 	lost  bool
 	calls int
+	// stuck is set while listings of all records don't get through.
+	stuck atomic.Bool
 }
 
 func (s *source) write(key, value string) {
@@ -58,8 +62,20 @@
 	return nil
 }
 
-// List returns two records a page.
-func (s *source) List(_ context.Context, after string) (rattanwood.Page, error) {
+// List returns two records a page, once the source answers listings.
+func (s *source) List(ctx context.Context, after string) (rattanwood.Page, error) {
+	for s.stuck.Load() && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return s.list(after, "")
+}
+
+// Upstreams returns two upstreams a page.
+func (s *source) Upstreams(_ context.Context, after string) (rattanwood.Page, error) {
+	return s.list(after, "servers/")
+}
+
+func (s *source) list(after, prefix string) (rattanwood.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.call(); err != nil {
@@ -71,7 +87,7 @@
 	}
 	p := rattanwood.Page{At: rattanwood.Revision(len(s.log))}
 	for _, r := range newest {
-		if !r.Deleted && r.Key > after {
+		if !r.Deleted && r.Key > after && strings.HasPrefix(r.Key, prefix) {
 			p.Records = append(p.Records, r)
 		}
 	}
@@ -174,6 +190,18 @@
 const callerIP = "127.0.22.100"
 
 func newFleet(c *qt.C) *fleet {
+	f := newStopped(c)
+	for i := range 3 {
+		f.start(i)
+	}
+	for i := range 3 {
+		f.eventually("ready", func() bool { return f.get(i, "/ready", nil) == http.StatusOK })
+	}
+	return f
+}
+
+// newStopped returns a fleet whose nodes don't run yet.
+func newStopped(c *qt.C) *fleet {
 	f := &fleet{c: c, src: &source{}, ports: settings.Ports{Peer: freePort(c), Tunnel: freePort(c), Web: freePort(c)}}
 	for i := range 2 {
 		u := newUpstream(c, "127.0.22.50", 0xab00000001+i)
@@ -188,12 +216,6 @@
 	c.Cleanup(func() { _ = f.caller.Close() })
 	f.resets = make(chan []byte, 100)
 	go receive(f.caller, f.resets)
-	for i := range 3 {
-		f.start(i)
-	}
-	for i := range 3 {
-		f.eventually("ready", func() bool { return f.get(i, "/ready", nil) == http.StatusOK })
-	}
 	return f
 }
 
@@ -370,6 +392,24 @@
 	return 0
 }
 
+// TestFlowsGoOnBeforeRoutes answers the start of a whole fleet, whose listings of all routes fill the source's link: flows that have
+// begun go on with the upstreams alone, and first packets wait.
+func TestFlowsGoOnBeforeRoutes(t *testing.T) {
+	c := qt.New(t)
+	f := newStopped(c)
+	f.src.stuck.Store(true)
+	f.start(0)
+	f.eventually("listening", func() bool { return f.get(0, "/ready", nil) == http.StatusServiceUnavailable })
+	f.send(0, packet(1, "198.18.0.1:443", flagOpen, 0, 1))
+	f.send(0, packet(2, "198.18.0.1:443", flagAck, tag(1), 2))
+	c.Assert(f.arrives(), qt.Equals, 1, qt.Commentf("the flow that has begun, while the first packet waits"))
+	f.src.write(f.upstreams[1].key, "")
+	f.src.stuck.Store(false)
+	c.Assert(f.arrives(), qt.Equals, 0, qt.Commentf("the first packet goes to the upstream that is left"))
+	f.eventually("ready", func() bool { return f.get(0, "/ready", nil) == http.StatusOK })
+	c.Assert(f.logs[0].contains("upstream vanished"), qt.IsTrue)
+}
+
 func TestReload(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(c)
--- a/internal/node/packets.go
+++ b/internal/node/packets.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/netip"
@@ -14,16 +15,21 @@
 	"example.org/rattanwood/tagger"
 )
 
-// datagramMost is the largest datagram in bytes.
-const datagramMost = 65507
+const (
+	// datagramMost is the largest datagram in bytes.
+	datagramMost = 65507
+	// heldMost is the number of first packets that wait for routes: those that a node gets in a second at twice the
+	// rate for which the design is sized, and 100 KB.
+	heldMost = 1000
+)
 
-// tunnelLoop decides on packets and sends them on. Until the records are there, packets
+// tunnelLoop decides on packets and sends them on. Until the upstreams are known, packets
 // wait in the socket's buffer, because every one of them would be dropped.
 func (n *Node) tunnelLoop(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
 		return nil
-	case <-n.whole:
+	case <-n.carried:
 	}
 	in := make([]byte, datagramMost)
 	var out []byte
@@ -47,6 +53,11 @@
 		return out
 	}
 	n.mu.Lock()
+	if !n.newborn && s.Flags.Has(rattanwood.FlagOpen) && len(n.held) < heldMost {
+		n.held = append(n.held, bytes.Clone(datagram))
+		n.mu.Unlock()
+		return out
+	}
 	now := n.now()
 	v := n.flows.Packet(now, s, datagram)
 	age, _ := n.watch.Age(now)
@@ -58,6 +69,18 @@
 	return n.emit(out, s, v, datagram)
 }
 
+// replay decides on the first packets that came before the routes; mu is held.
+func (n *Node) replay() {
+	held := n.held
+	n.held = nil
+	n.running.Go(func() {
+		var out []byte
+		for _, datagram := range held {
+			out = n.packet(out[:0], datagram)
+		}
+	})
+}
+
 // emit sends what a verdict asks for.
 func (n *Node) emit(out []byte, s rattanwood.Segment, v tagger.Verdict, packet []byte) []byte {
 	var to netip.AddrPort
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -43,19 +43,67 @@
 		case whole:
 			n.readChanges(ctx)
 		default:
-			n.readAll(ctx)
+			if n.glance(ctx) {
+				n.readAll(ctx)
+			}
 		}
 	}
 	return nil
 }
 
+// fromGlance names the listing of upstreams where others name their sender.
+const fromGlance = "glance"
+
+// glance lists the upstreams, because all records may take far longer: where a whole fleet starts, their
+// routes fill the source's link, and flows that have begun need none. It reports false if the source doesn't answer.
+func (n *Node) glance(ctx context.Context) bool {
+	n.mu.Lock()
+	done := n.carrying
+	n.mu.Unlock()
+	if done {
+		return true
+	}
+	after := ""
+	for range pagesMost {
+		p, err := n.list(ctx, n.cfg.Source.Upstreams, after)
+		if err != nil {
+			n.readFailed(ctx, err)
+			return false
+		}
+		n.mu.Lock()
+		if !n.copy.Whole() {
+			now := n.now()
+			for _, r := range p.Records {
+				n.applyRecord(now, fromGlance, r)
+			}
+		}
+		n.mu.Unlock()
+		if !p.More || len(p.Records) == 0 {
+			break
+		}
+		after = p.Records[len(p.Records)-1].Key
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.carry()
+	return true
+}
+
+// carry lets packets be decided on; mu is held.
+func (n *Node) carry() {
+	if !n.carrying {
+		n.carrying = true
+		close(n.carried)
+	}
+}
+
 // readAll lists all records. Pages may be of different revisions, so the changes since the first follow.
 func (n *Node) readAll(ctx context.Context) {
 	var records []rattanwood.Record
 	var at rattanwood.Revision
 	after, began := "", n.now()
 	for page := range pagesMost {
-		p, err := n.list(ctx, after)
+		p, err := n.list(ctx, n.cfg.Source.List, after)
 		if err != nil {
 			n.readFailed(ctx, err)
 			return
@@ -75,12 +123,12 @@
 	n.take(now, "source", n.copies.Listed(now, began, records, at))
 }
 
-func (n *Node) list(ctx context.Context, after string) (rattanwood.Page, error) {
+func (n *Node) list(ctx context.Context, call func(context.Context, string) (rattanwood.Page, error), after string) (rattanwood.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, callSlack)
 	defer cancel()
 	n.counters.calls.Add(1)
 	began := time.Now()
-	p, err := n.cfg.Source.List(ctx, after)
+	p, err := call(ctx, after)
 	n.timings.source.Observe(time.Since(began).Seconds())
 	return p, err
 }
@@ -148,12 +196,27 @@
 	}
 	if n.copy.Whole() && !n.newborn && n.flows.Version() > 0 {
 		n.newborn = true
+		n.settle(now)
 		close(n.whole)
+		n.carry()
+		n.replay()
 		n.log.Info("records complete", zap.String(logger.KeyPeer, from), zap.Uint64(logger.KeyRevision, uint64(n.copy.At())),
 			zap.Int("records", n.copy.Len()), zap.Int64("after", now.Milliseconds()))
 	}
 }
 
+// settle drops the upstreams that a glance showed and that are gone; mu is held.
+func (n *Node) settle(now time.Duration) {
+	for _, id := range n.flows.Registered() {
+		r, _, _ := n.flows.Upstream(id)
+		if !n.known[r.Instance] {
+			n.flows.RemoveRegistration(now, r.Instance)
+			n.log.Info("upstream vanished", zap.Stringer(logger.KeyUpstream, id), zap.String(logger.KeyPeer, "glance"))
+		}
+	}
+	n.known = nil
+}
+
 // applyRecord hands one record to the decision logic and reports whether neighbours should hear of it soon; mu is held.
 func (n *Node) applyRecord(now time.Duration, from string, r rattanwood.Record) (urgent bool) {
 	in, isUpstream := n.cfg.Interpreter.Instance(r.Key)
@@ -185,6 +248,9 @@
 			n.logBelief("routes in force", from, r, zap.Uint64(logger.KeyVersion, uint64(e.Version)), zap.Int("routes", len(e.Routes)), zap.Int("invalid", e.Invalid))
 		}
 	case *rattanwood.Registration:
+		if n.known != nil && from != fromGlance {
+			n.known[e.Instance] = true
+		}
 		switch n.flows.SetRegistration(now, *e) {
 		case tagger.Known:
 			// An upstream that warms up says so with each of its heartbeats.
--- a/source.go
+++ b/source.go
@@ -41,6 +41,9 @@
 type Source interface {
 	// List returns the records after a key; an empty key begins with the first.
 	List(ctx context.Context, after string) (Page, error)
+	// Upstreams returns the records of upstreams after a key. They are a small part of all, and may be seconds old;
+	// flows that have begun can be carried on with them.
+	Upstreams(ctx context.Context, after string) (Page, error)
 	// Watch returns once there are changes after a revision, or without any after wait.
 	Watch(ctx context.Context, after Revision, wait time.Duration) (Changes, error)
 }
--- a/standins/soaker/store.go
+++ b/standins/soaker/store.go
@@ -79,6 +79,15 @@
 
 // List implements rattanwood.Source.
 func (s *store) List(_ context.Context, after string) (rattanwood.Page, error) {
+	return s.list(after, func(string) bool { return true })
+}
+
+// Upstreams implements rattanwood.Source.
+func (s *store) Upstreams(_ context.Context, after string) (rattanwood.Page, error) {
+	return s.list(after, func(key string) bool { return key != emulator.RoutingKey })
+}
+
+func (s *store) list(after string, match func(key string) bool) (rattanwood.Page, error) {
 	if err := s.enter("list"); err != nil {
 		return rattanwood.Page{}, err
 	}
@@ -90,7 +99,7 @@
 	}
 	p := rattanwood.Page{At: s.at()}
 	for _, r := range newest {
-		if !r.Deleted && r.Key > after {
+		if !r.Deleted && r.Key > after && match(r.Key) {
 			p.Records = append(p.Records, r)
 		}
 	}
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -56,7 +56,8 @@
 	if s.Tag == 0 {
 		return Verdict{Reason: Untagged}
 	}
-	if t.routes[s.Target] == nil {
+	if t.routes[s.Target] == nil && t.version > 0 {
+		// Before the first routes are known, a flow that has begun had one.
 		return t.refuse(now, s, Unbound)
 	}
 	u := t.upstreams[s.Tag]
