Don't place first packets that waited while copies went elsewhere

The first packet of a flow waited in one node and its copy in another until the routes were there, 1.3 s after the start; both placed it, at different upstreams, and a packet of the open flow reached the wrong one. Ruled out: a change of the tag on its way (both lines are flow placed), the earlier waiting in the socket alone (it has the same fault, for starts beside a slow source; it is mended as well). Change: a first packet waits for the routes 150 ms at most, less than the 200 ms until its copy. If the upstreams took longer than that, what comes in the next 50 ms is dropped like after a pause.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,9 +85,9 @@
 	carried  chan struct{}
 	carrying bool
 	whole    chan struct{}
-	// known are the upstreams that the records have named until whole is closed, and held the first packets that wait for it.
+	// known are the upstreams that the records have named until whole is closed, and held the first packets that came before.
 	known    map[rattanwood.Instance]bool
-	held     [][]byte
+	held     []heldPacket
 	counters counters
 	timings  timings
 
--- a/internal/node/packets.go
+++ b/internal/node/packets.go
@@ -21,8 +21,17 @@
 	// heldMost is the number of first packets that wait for routes: those that a node gets in a second at twice the
 	// rate for which the design is sized, and 100 KB.
 	heldMost = 1000
+	// heldTime is how long one waits: less than the 200 ms after which its Caller sends a copy, which may go to
+	// another balancer and be placed there as well.
+	heldTime = 150 * time.Millisecond
 )
 
+// heldPacket is a first packet that came before the routes.
+type heldPacket struct {
+	at       time.Duration
+	datagram []byte
+}
+
 // tunnelLoop decides on packets and sends them on. Until the upstreams are known, packets
 // wait in the socket's buffer, because every one of them would be dropped.
 func (n *Node) tunnelLoop(ctx context.Context) error {
@@ -53,12 +62,12 @@
 		return out
 	}
 	n.mu.Lock()
-	if !n.newborn && s.Flags.Has(rattanwood.FlagOpen) && len(n.held) < heldMost {
-		n.held = append(n.held, bytes.Clone(datagram))
+	now := n.now()
+	if !n.newborn && s.Flags.Has(rattanwood.FlagOpen) && !n.flows.Waking(now) && len(n.held) < heldMost {
+		n.held = append(n.held, heldPacket{at: now, datagram: bytes.Clone(datagram)})
 		n.mu.Unlock()
 		return out
 	}
-	now := n.now()
 	v := n.flows.Packet(now, s, datagram)
 	age, _ := n.watch.Age(now)
 	revision := n.copy.At()
@@ -75,8 +84,10 @@
 	n.held = nil
 	n.running.Go(func() {
 		var out []byte
-		for _, datagram := range held {
-			out = n.packet(out[:0], datagram)
+		for _, p := range held {
+			if n.now()-p.at < heldTime {
+				out = n.packet(out[:0], p.datagram)
+			}
 		}
 	})
 }
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -93,6 +93,10 @@
 func (n *Node) carry() {
 	if !n.carrying {
 		n.carrying = true
+		if now := n.now(); now > heldTime {
+			// The socket's buffer holds first packets of which copies went elsewhere.
+			n.flows.Wake(now)
+		}
 		close(n.carried)
 	}
 }
--- a/standins/soaker/regressions.go
+++ b/standins/soaker/regressions.go
@@ -13,4 +13,5 @@
 // regressions are played first by each run.
 var regressions = []regression{
 	{44, 11, "a paused node opened flows from its buffer whose copies had opened elsewhere: tagger TestWakingNodeOpensNothing"},
+	{649, 12, "nodes that started beside a slow store placed first packets that had waited while copies went elsewhere: node TestFlowsGoOnBeforeRoutes"},
 }
--- a/tagger/outcome.go
+++ b/tagger/outcome.go
@@ -104,7 +104,7 @@
 
 // Judge settles the answers that have come to an end and returns the requests that failed since the last call.
 func (t *Tagger) Judge(now time.Duration) []Failure {
-	if t.waking(now) {
+	if t.Waking(now) {
 		// Acknowledgements may wait in the socket.
 		return nil
 	}
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -25,7 +25,7 @@
 
 // open decides on a flow's first packet or a copy of it.
 func (t *Tagger) open(now time.Duration, s rattanwood.Segment, packet []byte) Verdict {
-	if t.waking(now) {
+	if t.Waking(now) {
 		return Verdict{Reason: Waking}
 	}
 	route := t.routes[s.Target]
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -316,8 +316,11 @@
 	t.ticked = now
 }
 
-// waking reports whether a packet may have waited while this process was paused.
-func (t *Tagger) waking(now time.Duration) bool {
+// Wake says that packets may have waited until now.
+func (t *Tagger) Wake(now time.Duration) { t.woke = now }
+
+// Waking reports whether a packet may have waited while this process was paused.
+func (t *Tagger) Waking(now time.Duration) bool {
 	if t.ticked != 0 && now-t.ticked > t.cfg.WakeGap {
 		t.Tick(now)
 	}
--- a/tagger/tagger_test.go
+++ b/tagger/tagger_test.go
@@ -380,6 +380,16 @@
 	}
 }
 
+// TestStartOpensNothingThatWaited answers a start beside a slow source, during which first packets wait in the socket.
+func TestStartOpensNothingThatWaited(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	w.Wake(w.now)
+	c.Assert(w.open(1, board).Reason, qt.Equals, tagger.Waking)
+	w.now += 60 * time.Millisecond
+	c.Assert(w.open(1, board).Reason, qt.Equals, tagger.Placed)
+}
+
 // TestWarmingIsNoNews answers a release, in which new upstreams register again and again while they warm up: that must
 // not send heartbeats through the fleet.
 func TestWarmingIsNoNews(t *testing.T) {
