Follow a source that comes back from an older copy

Cause: a drill may put the source back by some seconds; revisions are given out again. Replicas only took higher revisions, so that they ignored all changes until those were passed, and then mixed two histories.

A replica of an earlier era is replaced as a whole, a balancer of an earlier era fetches everything, and changes that were asked for in another era lead to a new listing. An empty replica no longer starts from a peer whose records are older than the apply deadline while the source may answer.

Ruled out: a replica that merges both histories, because replicas at one position then differ.

--- a/copier/copier.go
+++ b/copier/copier.go
@@ -9,15 +9,20 @@
 
 	"example.org/rattanwood"
 	"example.org/rattanwood/messenger"
+	"example.org/rattanwood/reconciler"
 	"example.org/rattanwood/replicator"
 	"example.org/rattanwood/watcher"
 )
 
 // Config holds the dependencies and settings of a Copier.
 type Config struct {
-	Replica   *replicator.Replicator
-	Watcher   *watcher.Watcher
-	Messenger *messenger.Messenger
+	Replica    *replicator.Replicator
+	Reconciler *reconciler.Reconciler
+	Watcher    *watcher.Watcher
+	Messenger  *messenger.Messenger
+	// MaxFetchAge is the age up to which a peer's last confirmation lets an empty replica start from that
+	// peer's records, unless the source doesn't answer. Older ones may list upstreams that have left.
+	MaxFetchAge time.Duration
 	// SpreadInterval is the shortest time between two early rounds of heartbeats for what isn't
 	// urgent, such as a confirmation.
 	SpreadInterval time.Duration
@@ -28,36 +33,41 @@
 	cfg Config
 	// lastTrigger is when a round of heartbeats was last triggered.
 	lastTrigger time.Duration
+	// outdatedPeer is a balancer whose records were confirmed too long ago to start from them while the
+	// source may answer; it is empty if none was heard from.
+	outdatedPeer rattanwood.VMID
 }
 
 // New returns a Copier that keeps cfg.Replica current.
 func New(cfg Config) *Copier { return &Copier{cfg: cfg} }
 
-// Update holds the changes that a read, a reply or a heartbeat made to the replica, and whether it
+// Update holds the changes that a read, a reply or a heartbeat brought into effect, and whether it
 // confirmed the replica.
 type Update struct {
-	// Changed holds the records that changed in the replica.
+	// Changed holds the records that came into effect.
 	Changed []rattanwood.Record
-	// Confirmed is true if the replica is now known to have been current at the time At.
+	// Confirmed is true if the records in effect are now known to have been current at the time At. They
+	// aren't while the source may lack what was written before its return.
 	Confirmed bool
 	At        time.Duration
 }
 
-// FetchAfter returns the revision after which this balancer needs the changes, or zero if it needs
+// FetchAfter returns the position after which this balancer needs the changes, or zero if it needs
 // all records.
-func (c *Copier) FetchAfter() rattanwood.Revision {
+func (c *Copier) FetchAfter() rattanwood.Position {
 	if !c.cfg.Replica.Complete() {
 		return 0
 	}
-	return c.cfg.Replica.Revision()
+	return c.cfg.Replica.Position()
 }
 
 // FillHeartbeat sets the fields of a heartbeat that concern the replica.
 func (c *Copier) FillHeartbeat(now time.Duration, payload *messenger.HeartbeatPayload) {
 	confirmation, ok := c.cfg.Watcher.ConfirmationToSpread()
-	payload.Revision, payload.SourceUnreachable = c.cfg.Replica.Revision(), c.cfg.Watcher.SourceUnreachable()
+	payload.Position, payload.SourceUnreachable = c.cfg.Replica.Position(), c.cfg.Watcher.SourceUnreachable()
 	payload.Age, payload.Confirmed, payload.Reader, payload.ConfirmationSeq = now-confirmation.At, ok, confirmation.Reader, confirmation.Seq
 	payload.Prior, payload.Records = c.cfg.Replica.TakeChanges()
+	payload.Settling = c.cfg.Reconciler.Informed() && c.cfg.Reconciler.Settling(now)
 }
 
 // HandleHeartbeat applies the changes and the confirmation in a heartbeat, and asks its sender for
@@ -65,15 +75,22 @@
 func (c *Copier) HandleHeartbeat(now time.Duration, heartbeat *messenger.Heartbeat) Update {
 	var out Update
 	replica := c.cfg.Replica
-	if heartbeat.Revision > replica.Revision() && len(heartbeat.Records) > 0 {
-		if changed, ok := replica.Apply(heartbeat.Prior, rattanwood.Changes{Records: heartbeat.Records, Revision: heartbeat.Revision}); ok {
-			out.Changed = changed
+	if heartbeat.Position > replica.Position() && len(heartbeat.Records) > 0 {
+		if changed, ok := replica.Apply(heartbeat.Prior, rattanwood.Changes{Records: heartbeat.Records, Position: heartbeat.Position}); ok {
+			out.Changed = c.cfg.Reconciler.HandleChanges(changed)
 		}
 	}
 	switch {
-	case heartbeat.Revision > replica.Revision() || !replica.Complete() && heartbeat.Confirmed:
+	case !replica.Complete() && heartbeat.Confirmed && heartbeat.Age > c.cfg.MaxFetchAge && !c.cfg.Watcher.SourceUnreachable():
+		c.outdatedPeer = heartbeat.From
+	case !replica.Complete() && heartbeat.Confirmed:
 		c.cfg.Messenger.RequestFetch(now, heartbeat.From, c.FetchAfter())
-	case heartbeat.Revision == replica.Revision() && heartbeat.Confirmed && replica.Complete():
+	case heartbeat.Position > replica.Position():
+		c.cfg.Messenger.RequestFetch(now, heartbeat.From, c.FetchAfter())
+	case heartbeat.Settling && heartbeat.Position.Era() == replica.Position().Era() && !c.cfg.Reconciler.Informed():
+		// The sender knows records that the source lost, and sends them with all others.
+		c.cfg.Messenger.RequestFetch(now, heartbeat.From, 0)
+	case heartbeat.Position == replica.Position() && heartbeat.Confirmed && replica.Complete():
 		c.confirm(now, &out, watcher.Confirmation{Reader: heartbeat.Reader, Seq: heartbeat.ConfirmationSeq, At: now - heartbeat.Age})
 	}
 	return out
@@ -81,7 +98,7 @@
 
 // Reply is what a balancer answers to one whose replica is behind.
 type Reply struct {
-	Revision rattanwood.Revision
+	Position rattanwood.Position
 	// Whole is true if Records is a full listing rather than changes.
 	Whole   bool
 	Records []rattanwood.Record
@@ -92,61 +109,120 @@
 	// Reader and Seq identify the confirmation.
 	Reader watcher.ReaderID
 	Seq    uint64
+	// Held are records that the source lost on its return but that are in effect for the time Settling.
+	// Informed is true if the sender knows them; one that started later doesn't.
+	Held     []rattanwood.Record
+	Settling time.Duration
+	Informed bool
 }
 
-// Reply returns the changes after a revision, or all records if that is zero; ok is false if this
+// Reply returns the changes after a position, or all records if that is zero; ok is false if this
 // balancer's own replica isn't complete yet.
-func (c *Copier) Reply(now time.Duration, after rattanwood.Revision) (r Reply, ok bool) {
+func (c *Copier) Reply(now time.Duration, after rattanwood.Position) (r Reply, ok bool) {
 	if !c.cfg.Replica.Complete() {
 		return Reply{}, false
 	}
 	records, whole := c.cfg.Replica.ChangesSince(after)
 	confirmation, confirmed := c.cfg.Watcher.ConfirmationToSpread()
+	held, settling := c.cfg.Reconciler.Held(now)
 	return Reply{
-		Revision: c.cfg.Replica.Revision(), Whole: whole || after == 0, Records: records,
+		Held: held, Settling: settling, Informed: c.cfg.Reconciler.Informed(),
+		Position: c.cfg.Replica.Position(), Whole: whole || after == 0, Records: records,
 		Age: now - confirmation.At, Confirmed: confirmed, Reader: confirmation.Reader, Seq: confirmation.Seq,
 	}, true
 }
 
-// HandleReply applies a reply to the request for the changes after a revision. requestedAt is when
+// HandleReply applies a reply to the request for the changes after a position. requestedAt is when
 // the request was sent.
-func (c *Copier) HandleReply(now, requestedAt time.Duration, after rattanwood.Revision, r Reply) Update {
+func (c *Copier) HandleReply(now, requestedAt time.Duration, after rattanwood.Position, r Reply) Update {
 	var out Update
 	if r.Whole {
-		out.Changed = c.cfg.Replica.ReplaceAll(r.Records, r.Revision)
+		out.Changed = c.replaceAll(now, r.Records, r.Position)
 	} else {
 		// Changes that no longer fit the replica are fetched again after the next heartbeat.
-		out.Changed, _ = c.cfg.Replica.Apply(after, rattanwood.Changes{Records: r.Records, Revision: r.Revision})
+		changed, _ := c.cfg.Replica.Apply(after, rattanwood.Changes{Records: r.Records, Position: r.Position})
+		out.Changed = c.cfg.Reconciler.HandleChanges(changed)
+	}
+	if r.Informed && r.Position.Era() == c.cfg.Replica.Position().Era() && r.Position.Era() > 0 {
+		out.Changed = append(out.Changed, c.cfg.Reconciler.Adopt(now, r.Settling-(now-requestedAt), r.Held, c.cfg.Replica.Find)...)
 	}
-	if r.Confirmed && r.Revision == c.cfg.Replica.Revision() {
+	if r.Confirmed && r.Position == c.cfg.Replica.Position() {
 		c.confirm(now, &out, watcher.Confirmation{Reader: r.Reader, Seq: r.Seq, At: requestedAt - r.Age})
 	}
 	return out
 }
 
-// HandleListing applies a full listing of the source; at is when the listing was current.
-func (c *Copier) HandleListing(now, at time.Duration, records []rattanwood.Record, revision rattanwood.Revision) Update {
-	return c.finishRead(now, Update{Changed: c.cfg.Replica.ReplaceAll(records, revision), At: at})
+// replaceAll applies a full listing and returns the records that come into effect.
+func (c *Copier) replaceAll(now time.Duration, records []rattanwood.Record, at rattanwood.Position) []rattanwood.Record {
+	replica, era := c.cfg.Replica, c.cfg.Replica.Position().Era()
+	switch {
+	case !replica.Complete():
+		c.cfg.Reconciler.Begin(now, at.Era())
+		return replica.ReplaceAll(records, at)
+	case at.Era() > era:
+		earlier := replica.Records()
+		changed := replica.ReplaceAll(records, at)
+		return c.cfg.Reconciler.HandleReturn(now, at.Era(), changed, func(key string) (rattanwood.Record, bool) {
+			r, ok := earlier[key]
+			return r, ok
+		})
+	}
+	return c.cfg.Reconciler.HandleChanges(replica.ReplaceAll(records, at))
+}
+
+// Informed reports whether this balancer knows what the source may have lost on its last return, or that it
+// never returned.
+func (c *Copier) Informed() bool { return c.cfg.Reconciler.Informed() }
+
+// Settling reports whether records that the source lost on its last return may still be in effect.
+func (c *Copier) Settling(now time.Duration) bool { return c.cfg.Reconciler.Settling(now) }
+
+// Expire returns the records that come into effect because the source has had the time to get back what
+// it lost.
+func (c *Copier) Expire(now time.Duration) []rattanwood.Record {
+	return c.cfg.Reconciler.Expire(now, c.cfg.Replica.Find)
 }
 
-// HandleChanges applies the changes of the source after the revision prior; at is the time up to
-// which they are complete.
-func (c *Copier) HandleChanges(now, at time.Duration, prior rattanwood.Revision, changes rattanwood.Changes) Update {
+// HandleListing applies a full listing of the source; at is when the listing was current. A listing of an
+// earlier era comes from a copy that is no longer the source, and is ignored.
+func (c *Copier) HandleListing(now, at time.Duration, records []rattanwood.Record, position rattanwood.Position) (u Update, ok bool) {
+	if position.Era() < c.cfg.Replica.Position().Era() {
+		return Update{}, false
+	}
+	return c.finishRead(now, Update{Changed: c.replaceAll(now, records, position), At: at}), true
+}
+
+// HandleChanges applies the changes of the source after the position prior; at is the time up to
+// which they are complete. It reports false if they don't fit the replica, so that all records must be
+// listed: they are of another era, or older than what the replica held when they were asked for.
+func (c *Copier) HandleChanges(now, at time.Duration, prior rattanwood.Position, changes rattanwood.Changes) (u Update, ok bool) {
+	if changes.Position.Era() != prior.Era() || changes.Position < prior {
+		return Update{}, false
+	}
 	changed, _ := c.cfg.Replica.Apply(prior, changes)
-	return c.finishRead(now, Update{Changed: changed, At: at})
+	return c.finishRead(now, Update{Changed: c.cfg.Reconciler.HandleChanges(changed), At: at}), true
 }
 
 // finishRead records a successful read of the source.
 func (c *Copier) finishRead(now time.Duration, out Update) Update {
-	out.Confirmed = true
+	out.Confirmed = !c.cfg.Reconciler.Settling(now)
 	c.cfg.Watcher.RecordRead(now, out.At)
 	c.RequestHeartbeats(now)
 	return out
 }
 
+// HandleFailure records that the source didn't answer. A balancer without records then starts from those of
+// a peer, however old.
+func (c *Copier) HandleFailure(now time.Duration) {
+	c.cfg.Watcher.RecordFailure(now)
+	if !c.cfg.Replica.Complete() && c.outdatedPeer != "" {
+		c.cfg.Messenger.RequestFetch(now, c.outdatedPeer, c.FetchAfter())
+	}
+}
+
 // confirm records a confirmation and triggers heartbeats if it is to be passed on.
 func (c *Copier) confirm(now time.Duration, out *Update, confirmation watcher.Confirmation) {
-	out.Confirmed, out.At = true, confirmation.At
+	out.Confirmed, out.At = !c.cfg.Reconciler.Settling(now), confirmation.At
 	if c.cfg.Watcher.Confirm(now, confirmation) {
 		c.RequestHeartbeats(now)
 	}
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -9,6 +9,8 @@
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"example.org/rattanwood"
 )
 
 // Keys of log lines besides time, level and message.
@@ -27,7 +29,9 @@
 	KeyFlow = "flow"
 	// KeyUpstream is the id of an upstream.
 	KeyUpstream = "upstream"
-	// KeyRevision is the revision of the records on which a decision was based.
+	// KeyEra and KeyRevision are the position of the records on which a decision was based. The era is left
+	// out while it is zero.
+	KeyEra      = "era"
 	KeyRevision = "revision"
 	// KeyAge is the age in milliseconds of the data on which a decision was based.
 	KeyAge = "age"
@@ -35,6 +39,20 @@
 	KeyOutcome = "outcome"
 )
 
+// Position returns the fields of a position, for zap.Inline.
+func Position(p rattanwood.Position) zapcore.ObjectMarshaler { return position(p) }
+
+type position rattanwood.Position
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (p position) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	if era := rattanwood.Position(p).Era(); era > 0 {
+		enc.AddUint16(KeyEra, uint16(era))
+	}
+	enc.AddUint64(KeyRevision, uint64(rattanwood.Position(p).Revision()))
+	return nil
+}
+
 // Sampling of lines with the same level and message: in each second the first sampleFirst are written, and
 // after them one in sampleThereafter.
 const (
--- a/internal/node/checks.go
+++ b/internal/node/checks.go
@@ -68,7 +68,7 @@
 		outgoing = append(outgoing, n.tagger.ResetFlows(id)...)
 	}
 	age, _ := n.watcher.Age(now)
-	revision := n.replica.Revision()
+	position := n.replica.Position()
 	due := n.prober.StartDueChecks(now, n.assignment)
 	n.mu.Unlock()
 	n.startChecks(ctx, now, due)
@@ -76,7 +76,7 @@
 		n.log.Info("upstream health changed", zap.Stringer(logger.KeyUpstream, id), zap.Stringer(logger.KeyOutcome, outcome),
 			zap.Bool("avoid", v.Avoid), zap.Bool("dead", v.Dead), zap.Bool("well", v.Recovered), zap.Int64(logger.KeyAge, (now-began).Milliseconds()))
 	}
-	n.sendPackets(outgoing, age, revision)
+	n.sendPackets(outgoing, age, position)
 }
 
 // identify checks that the upstream itself, and not another one, answers at its address. If the request
--- a/internal/node/dump.go
+++ b/internal/node/dump.go
@@ -9,8 +9,11 @@
 type State struct {
 	VM          string              `json:"vm"`
 	Incarnation uint64              `json:"life"`
+	Era         rattanwood.Era      `json:"era"`
 	Revision    rattanwood.Revision `json:"revision"`
-	Version     rattanwood.Version  `json:"version"`
+	// Settling is set while records that the source lost on its return may still be in effect.
+	Settling bool               `json:"settling,omitempty"`
+	Version  rattanwood.Version `json:"version"`
 	// AgeMillis is the time in milliseconds since the records were last known to be current, or -1 if they
 	// never were.
 	AgeMillis int64 `json:"age"`
@@ -43,7 +46,7 @@
 	defer n.mu.Unlock()
 	now := n.now()
 	s := &State{
-		VM: n.cfg.Settings.VM, Incarnation: uint64(n.cfg.Incarnation), Revision: n.replica.Revision(), Version: n.tagger.Version(), AgeMillis: -1,
+		VM: n.cfg.Settings.VM, Incarnation: uint64(n.cfg.Incarnation), Era: n.replica.Position().Era(), Revision: n.replica.Position().Revision(), Settling: n.copier.Settling(now), Version: n.tagger.Version(), AgeMillis: -1,
 		ReaderRank: n.messenger.ReaderRank(), IsReader: n.watcher.IsReader(), SourceUnreachable: n.watcher.SourceUnreachable(), ShuttingDown: n.shuttingDown.Load(),
 		Members: []MemberState{}, Upstreams: n.tagger.Upstreams(now), Flows: n.tagger.Flows(maxFlows),
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -24,6 +24,7 @@
 	descIdentify   = prometheus.NewDesc("rattanwood_identifications_total", "Upstreams asked who they are.", nil, nil)
 	descControl    = prometheus.NewDesc("rattanwood_control_bytes_total", "Bytes of heartbeats and the like by class.", []string{"class", "fate"}, nil)
 	descRevision   = prometheus.NewDesc("rattanwood_source_revision", "Revision of the records.", nil, nil)
+	descEra        = prometheus.NewDesc("rattanwood_source_era", "Times that the source came back from an older copy.", nil, nil)
 	descAge        = prometheus.NewDesc("rattanwood_source_age_seconds", "Time since the records were known to be current.", nil, nil)
 	descVersion    = prometheus.NewDesc("rattanwood_document_version", "Version of the routes in force.", nil, nil)
 	descMembers    = prometheus.NewDesc("rattanwood_members", "Other balancers by state.", []string{"state"}, nil)
@@ -93,7 +94,8 @@
 		counter(descControl, n.messenger.Limiter.SentBytes(class), class.String(), "sent")
 		counter(descControl, n.messenger.Limiter.ShedBytes(class), class.String(), "shed")
 	}
-	gauge(descRevision, float64(n.replica.Revision()))
+	gauge(descRevision, float64(n.replica.Position().Revision()))
+	gauge(descEra, float64(n.replica.Position().Era()))
 	if age, ok := n.watcher.Age(n.now()); ok {
 		gauge(descAge, age.Seconds())
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"example.org/rattanwood/messenger"
 	"example.org/rattanwood/placer"
 	"example.org/rattanwood/prober"
+	"example.org/rattanwood/reconciler"
 	"example.org/rattanwood/replicator"
 	"example.org/rattanwood/tagger"
 	"example.org/rattanwood/watcher"
@@ -77,8 +78,10 @@
 	placer    *placer.Placer
 	// rejected counts invalid input by reason.
 	rejected map[string]uint64
-	// ready is set once the records are complete, so that new flows can be placed.
-	ready bool
+	// ready is set once the records are complete, so that new flows can be placed. copyListedAt is when they
+	// became complete, if they may come from an older copy of the source.
+	ready        bool
+	copyListedAt time.Duration
 	// lastStall is the time of the last tick that was more than maxTickDelay late.
 	lastStall    time.Duration
 	shuttingDown atomic.Bool
@@ -129,7 +132,10 @@
 	}
 	n.watcher = watcher.New(watcherConfig(settings.Duration(set.Times.ApplyDeadline), n.messenger.ReaderID(), random))
 	n.copier = copier.New(copier.Config{
-		Replica: n.replica, Watcher: n.watcher, Messenger: n.messenger, SpreadInterval: settings.Duration(set.Times.ApplyDeadline) / spreadsPerApplyDeadline,
+		Replica: n.replica, Watcher: n.watcher, Messenger: n.messenger,
+		Reconciler:     reconciler.New(reconciler.Config{SettleTime: reconciler.DefaultSettleTime, Supersedes: cfg.Interpreter.Supersedes}),
+		MaxFetchAge:    settings.Duration(set.Times.ApplyDeadline),
+		SpreadInterval: settings.Duration(set.Times.ApplyDeadline) / spreadsPerApplyDeadline,
 	})
 	n.prober = prober.New(prober.DefaultConfig())
 	placerConfig := placer.DefaultConfig(random)
@@ -310,7 +316,9 @@
 			swept = now
 			n.placer.Tick(now, n.messenger.BalancersPerDataCentre())
 			n.tagger.RemoveExpired(now)
+			n.applyRecords(now, fromSettled, n.copier.Expire(now))
 		}
+		n.becomeReady(now, fromSettled)
 		due := n.prober.StartDueChecks(now, n.assignment)
 		actions := n.messenger.TakeActions()
 		n.mu.Unlock()
--- a/internal/node/packets.go
+++ b/internal/node/packets.go
@@ -72,10 +72,10 @@
 	}
 	v := n.tagger.Packet(now, s, datagram)
 	age, _ := n.watcher.Age(now)
-	revision := n.replica.Revision()
+	position := n.replica.Position()
 	n.mu.Unlock()
 	if v.Action != tagger.Forward || v.Reason != tagger.Tagged {
-		n.logVerdict(s, v, age, revision)
+		n.logVerdict(s, v, age, position)
 	}
 	return n.sendPacket(out, s, v, datagram)
 }
@@ -114,20 +114,20 @@
 }
 
 // sendPackets sends packets on the balancer's own initiative, such as resets after a failed health check.
-func (n *Node) sendPackets(outgoing []tagger.OutgoingPacket, age time.Duration, revision rattanwood.Revision) {
+func (n *Node) sendPackets(outgoing []tagger.OutgoingPacket, age time.Duration, position rattanwood.Position) {
 	var out []byte
 	for _, e := range outgoing {
-		n.logVerdict(e.Segment, e.Verdict, age, revision)
+		n.logVerdict(e.Segment, e.Verdict, age, position)
 		out = n.sendPacket(out[:0], e.Segment, e.Verdict, e.Packet)
 	}
 }
 
-// logVerdict logs a decision with the revision and the age in milliseconds of the records behind it.
-func (n *Node) logVerdict(s rattanwood.Segment, v tagger.Verdict, age time.Duration, revision rattanwood.Revision) {
+// logVerdict logs a decision with the position and the age in milliseconds of the records behind it.
+func (n *Node) logVerdict(s rattanwood.Segment, v tagger.Verdict, age time.Duration, position rattanwood.Position) {
 	message := "flow " + v.Reason.String()
 	if e := n.log.Check(zap.InfoLevel, message); e != nil {
 		e.Write(zap.String(logger.KeyFlow, flowID(s)), zap.Stringer(logger.KeyOutcome, v.Action),
-			zap.Stringer(logger.KeyUpstream, upstreamOf(s, v)), zap.Uint64(logger.KeyRevision, uint64(revision)),
+			zap.Stringer(logger.KeyUpstream, upstreamOf(s, v)), zap.Inline(logger.Position(position)),
 			zap.Int64(logger.KeyAge, age.Milliseconds()))
 	}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -27,6 +27,9 @@
 // next balancer.
 const fetchTimeout = 800 * time.Millisecond
 
+// maxSettlingMillis bounds the time that a peer says it holds records, so that it can't overflow.
+const maxSettlingMillis = 60_000
+
 // heartbeatPayload returns the state that the next heartbeats carry. The calling code must hold mu.
 func (n *Node) heartbeatPayload() messenger.HeartbeatPayload {
 	now := n.now()
@@ -146,10 +149,17 @@
 		n.log.Warn("records from another balancer could not be decoded", zap.String(logger.KeyPeer, string(a.VM)), zap.String(logger.KeyError, err.Error()))
 		return
 	}
+	held, err := messenger.Decode(reply.GetHeld())
+	if err != nil {
+		n.rejected["peer_record"]++
+		n.log.Warn("held records from another balancer could not be decoded", zap.String(logger.KeyPeer, string(a.VM)), zap.String(logger.KeyError, err.Error()))
+		return
+	}
 	age, confirmed := messenger.DecodeAge(reply.GetConfirmed())
 	n.applyUpdate(now, string(a.VM), n.copier.HandleReply(now, requested, a.After, copier.Reply{
-		Revision: rattanwood.Revision(reply.GetRevision()), Whole: reply.GetWhole(), Records: records,
+		Position: rattanwood.Position(reply.GetRevision()), Whole: reply.GetWhole(), Records: records,
 		Age: age, Confirmed: confirmed, Reader: watcher.ReaderID(reply.GetReader()), Seq: reply.GetConfirmation(),
+		Held: held, Settling: time.Duration(min(reply.GetSettling(), maxSettlingMillis)) * time.Millisecond, Informed: reply.GetInformed(),
 	}))
 }
 
@@ -175,21 +185,22 @@
 	node *Node
 }
 
-// Sync returns the records that changed after a revision, or all records if it no longer has the changes.
+// Sync returns the records that changed after a position, or all records if it no longer has the changes.
 func (c *copyService) Sync(_ context.Context, r *wire.SyncRequest) (*wire.SyncReply, error) {
 	n := c.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	reply, ok := n.copier.Reply(now, rattanwood.Revision(r.GetAfter()))
+	reply, ok := n.copier.Reply(now, rattanwood.Position(r.GetAfter()))
 	if !ok {
 		// This balancer may hold some records already, but not all.
 		return nil, oops.Code("not_whole").Errorf("no records yet")
 	}
 	return &wire.SyncReply{
-		Revision: uint64(reply.Revision), Whole: reply.Whole,
+		Revision: uint64(reply.Position), Whole: reply.Whole,
 		Records: n.messenger.Packer.Encode(reply.Records), Confirmed: messenger.EncodeAge(reply.Age, reply.Confirmed),
 		Reader: uint64(reply.Reader), Confirmation: reply.Seq,
+		Held: n.messenger.Packer.Encode(reply.Held), Settling: uint64(reply.Settling / time.Millisecond), Informed: reply.Informed,
 	}, nil
 }
 
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -56,6 +56,10 @@
 // balancer that sent the records.
 const fromUpstreamListing = "glance"
 
+// fromSettled is the origin of records that come into effect because those that the source had lost on its
+// return weren't written again. It is logged like fromUpstreamListing.
+const fromSettled = "settled"
+
 // loadUpstreams lists only the upstreams, unless forwarding has started already, and then starts forwarding.
 // Established flows need no routes, and listing all records may take far longer: when a whole fleet
 // starts, the routes saturate the source's link. It returns false if the source doesn't answer.
@@ -105,10 +109,10 @@
 }
 
 // readAll lists all records. Pages may be of different revisions, so the listing counts as that of the first
-// page's revision, and the changes since then are read afterwards.
+// page's position, and the changes since then are read afterwards.
 func (n *Node) readAll(ctx context.Context) {
 	var records []rattanwood.Record
-	var revision rattanwood.Revision
+	var position rattanwood.Position
 	after, began := "", n.now()
 	for i := range maxPages {
 		p, err := n.fetchPage(ctx, n.cfg.Source.List, after)
@@ -117,7 +121,11 @@
 			return
 		}
 		if i == 0 {
-			revision = p.Revision
+			position = p.Position
+		}
+		if p.Position.Era() != position.Era() {
+			n.log.Warn("source began a new era during a listing", zap.Inline(logger.Position(p.Position)))
+			return
 		}
 		records = append(records, p.Records...)
 		if !p.More || len(p.Records) == 0 {
@@ -128,7 +136,13 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	n.applyUpdate(now, "source", n.copier.HandleListing(now, began, records, revision))
+	update, ok := n.copier.HandleListing(now, began, records, position)
+	if !ok {
+		n.log.Warn("listing of an earlier era ignored", zap.Inline(logger.Position(position)))
+		n.copier.HandleFailure(now)
+		return
+	}
+	n.applyUpdate(now, "source", update)
 }
 
 // fetchPage makes one call of a listing.
@@ -145,7 +159,7 @@
 // readChanges makes one call that waits for changes, and applies them.
 func (n *Node) readChanges(ctx context.Context) {
 	n.mu.Lock()
-	prior, began := n.replica.Revision(), n.now()
+	prior, began := n.replica.Position(), n.now()
 	age, _ := n.watcher.Age(began)
 	n.mu.Unlock()
 	// A third of the apply deadline, as watcherConfig assumes.
@@ -161,7 +175,7 @@
 	n.timings.source.Observe(max(n.now()-began-wait, 0).Seconds())
 	var lost *rattanwood.LostHistoryError
 	if errors.As(err, &lost) {
-		n.log.Warn("source no longer has the changes, listing all records again", zap.Uint64(logger.KeyRevision, uint64(prior)))
+		n.log.Warn("source no longer has the changes, listing all records again", zap.Inline(logger.Position(prior)))
 		n.readAll(ctx)
 		return
 	}
@@ -172,10 +186,18 @@
 	n.mu.Lock()
 	now := n.now()
 	if n.watcher.SourceUnreachable() {
-		n.log.Info("source reachable again", zap.Uint64(logger.KeyRevision, uint64(changes.Revision)))
+		n.log.Info("source reachable again", zap.Inline(logger.Position(changes.Position)))
+	}
+	update, ok := n.copier.HandleChanges(now, max(began, now-maxAnswerAge), prior, changes)
+	if ok {
+		n.applyUpdate(now, "source", update)
 	}
-	n.applyUpdate(now, "source", n.copier.HandleChanges(now, max(began, now-maxAnswerAge), prior, changes))
 	n.mu.Unlock()
+	if !ok {
+		n.log.Warn("source came back from an older copy, listing all records again", zap.Inline(logger.Position(changes.Position)))
+		n.readAll(ctx)
+		return
+	}
 	if len(changes.Records) > 0 {
 		listener.Sleep(ctx, coalesceInterval)
 	}
@@ -190,7 +212,7 @@
 	n.counters.sourceErrors.Add(1)
 	n.mu.Lock()
 	now := n.now()
-	n.watcher.RecordFailure(now)
+	n.copier.HandleFailure(now)
 	age, _ := n.watcher.Age(now)
 	n.messenger.Members.TriggerHeartbeats()
 	n.mu.Unlock()
@@ -207,13 +229,25 @@
 	if urgent {
 		n.messenger.Members.TriggerHeartbeats()
 	}
-	if n.replica.Complete() && !n.ready && n.tagger.Version() > 0 {
+	n.becomeReady(now, from)
+}
+
+// becomeReady makes this balancer ready if the records are complete. While the source may have come back from
+// an older copy, it waits a moment for a peer that knows what the source lost. The calling code must hold mu.
+func (n *Node) becomeReady(now time.Duration, from string) {
+	if !n.replica.Complete() || n.ready || n.tagger.Version() == 0 {
+		return
+	}
+	if n.copyListedAt == 0 {
+		n.copyListedAt = now
+	}
+	if n.copier.Informed() || now-n.copyListedAt >= maxHoldTime {
 		n.ready = true
 		n.removeOutdatedUpstreams(now)
 		close(n.becameReady)
 		n.startForwarding()
 		n.replayHeldPackets()
-		n.log.Info("records complete, ready for new flows", zap.String(logger.KeyPeer, from), zap.Uint64(logger.KeyRevision, uint64(n.replica.Revision())),
+		n.log.Info("records complete, ready for new flows", zap.String(logger.KeyPeer, from), zap.Inline(logger.Position(n.replica.Position())),
 			zap.Int("records", n.replica.Len()), zap.Int64("after", now.Milliseconds()))
 	}
 }
@@ -251,7 +285,7 @@
 			reason = bad.Reason
 		}
 		n.rejected["record_"+reason]++
-		n.log.Warn("invalid record rejected", zap.String(logger.KeyPeer, from), zap.Uint64(logger.KeyRevision, uint64(r.Revision)), zap.String(logger.KeyError, err.Error()))
+		n.log.Warn("invalid record rejected", zap.String(logger.KeyPeer, from), zap.Inline(logger.Position(r.Position)), zap.String(logger.KeyError, err.Error()))
 		if isUpstream {
 			// The record has replaced the registration, so the upstream can no longer be used.
 			n.tagger.RemoveRegistration(now, instance)
@@ -286,6 +320,6 @@
 // logChange logs a change of routes or upstreams, with the origin and revision of the record behind it.
 func (n *Node) logChange(message, from string, r rattanwood.Record, more ...zap.Field) {
 	if e := n.log.Check(zap.InfoLevel, message); e != nil {
-		e.Write(append(more, zap.String(logger.KeyPeer, from), zap.Uint64(logger.KeyRevision, uint64(r.Revision)))...)
+		e.Write(append(more, zap.String(logger.KeyPeer, from), zap.Inline(logger.Position(r.Position)))...)
 	}
 }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -61,7 +61,7 @@
 type Fetch struct {
 	VM      rattanwood.VMID
 	Address netip.AddrPort
-	After   rattanwood.Revision
+	After   rattanwood.Position
 }
 
 // Action is a Send or a Fetch.
@@ -72,7 +72,7 @@
 
 // HeartbeatPayload is what heartbeats tell about the state of their sender.
 type HeartbeatPayload struct {
-	Revision rattanwood.Revision
+	Position rattanwood.Position
 	// Age is the time since a reader of the source found the records current; Confirmed is set if one
 	// ever did.
 	Age       time.Duration
@@ -88,8 +88,10 @@
 	Failing []rattanwood.UpstreamID
 	// Dead are those of Failing on which existing flows can't continue either.
 	Dead []rattanwood.UpstreamID
-	// Records are all records that changed after the revision Prior.
-	Prior   rattanwood.Revision
+	// Settling is set while the sender keeps records in effect that the source lost on its return.
+	Settling bool
+	// Records are all records that changed after the position Prior.
+	Prior   rattanwood.Position
 	Records []rattanwood.Record
 }
 
@@ -169,10 +171,11 @@
 	for _, to := range receivers {
 		// The detector's Version is whatever the fleet replicates, here the revision of the records, and
 		// its PlatformUnreachable says here that the source is unreachable.
-		heartbeat := m.Members.BuildHeartbeat(now, to, detector.HeartbeatPayload{Version: rattanwood.Version(p.Revision), Leaving: p.Leaving, PlatformUnreachable: p.SourceUnreachable})
+		heartbeat := m.Members.BuildHeartbeat(now, to, detector.HeartbeatPayload{Version: rattanwood.Version(p.Position), Leaving: p.Leaving, PlatformUnreachable: p.SourceUnreachable})
 		heartbeat.Confirmed, heartbeat.Reader, heartbeat.Confirmation = shared.Confirmed, shared.Reader, shared.Confirmation
+		heartbeat.Settling = shared.Settling
 		// Receivers that have announced this revision already hold the records.
-		if to.Version < rattanwood.Version(p.Revision) {
+		if to.Version < rattanwood.Version(p.Position) {
 			heartbeat.Prior, heartbeat.Records = shared.Prior, shared.Records
 		}
 		heartbeat.Failing, heartbeat.Dead = shared.Failing, shared.Dead
@@ -186,7 +189,7 @@
 
 // encodePayload builds the part of a heartbeat that is the same for all receivers.
 func (m *Messenger) encodePayload(now time.Duration, p HeartbeatPayload) *wire.Beat {
-	heartbeat := &wire.Beat{Confirmed: EncodeAge(p.Age, p.Confirmed), Reader: uint64(p.Reader), Confirmation: p.ConfirmationSeq}
+	heartbeat := &wire.Beat{Confirmed: EncodeAge(p.Age, p.Confirmed), Reader: uint64(p.Reader), Confirmation: p.ConfirmationSeq, Settling: p.Settling}
 	if records := m.Packer.Encode(p.Records); sizeOf(records) <= maxPushedBytes {
 		heartbeat.Prior, heartbeat.Records = uint64(p.Prior), records
 	}
--- a/messenger/packer.go
+++ b/messenger/packer.go
@@ -26,7 +26,7 @@
 }
 
 type cachedValue struct {
-	revision rattanwood.Revision
+	position rattanwood.Position
 	data     []byte
 }
 
@@ -37,7 +37,7 @@
 func (p *Packer) Encode(records []rattanwood.Record) []*wire.Record {
 	out := make([]*wire.Record, len(records))
 	for i, r := range records {
-		out[i] = &wire.Record{Key: r.Key, Revision: uint64(r.Revision), Deleted: r.Deleted}
+		out[i] = &wire.Record{Key: r.Key, Revision: uint64(r.Position), Deleted: r.Deleted}
 		if len(r.Value) < minPackedSize {
 			out[i].Value = r.Value
 			continue
@@ -47,9 +47,9 @@
 	return out
 }
 
-// compress returns the compressed value of a record, from the cache if that has the same revision.
+// compress returns the compressed value of a record, from the cache if that has the same position.
 func (p *Packer) compress(r rattanwood.Record) []byte {
-	if cached := p.cache[r.Key]; cached.revision == r.Revision {
+	if cached := p.cache[r.Key]; cached.position == r.Position {
 		return cached.data
 	}
 	var buf bytes.Buffer
@@ -61,7 +61,7 @@
 	}
 	_, _ = p.writer.Write(r.Value)
 	_ = p.writer.Close()
-	p.cache[r.Key] = cachedValue{revision: r.Revision, data: buf.Bytes()}
+	p.cache[r.Key] = cachedValue{position: r.Position, data: buf.Bytes()}
 	return buf.Bytes()
 }
 
@@ -70,7 +70,7 @@
 func Decode(records []*wire.Record) ([]rattanwood.Record, error) {
 	out := make([]rattanwood.Record, len(records))
 	for i, r := range records {
-		out[i] = rattanwood.Record{Key: r.GetKey(), Value: r.GetValue(), Revision: rattanwood.Revision(r.GetRevision()), Deleted: r.GetDeleted()}
+		out[i] = rattanwood.Record{Key: r.GetKey(), Value: r.GetValue(), Position: rattanwood.Position(r.GetRevision()), Deleted: r.GetDeleted()}
 		if len(r.GetPacked()) == 0 {
 			continue
 		}
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -54,10 +54,11 @@
 		m.send(now, sender, &wire.Envelope{Body: &wire.Envelope_Pull{Pull: m.Members.BuildPull()}})
 	}
 	heartbeat := Heartbeat{From: sender.VM, DataCentre: sender.DataCentre}
-	heartbeat.Prior = rattanwood.Revision(message.GetPrior())
+	heartbeat.Prior = rattanwood.Position(message.GetPrior())
 	// Records that can't be decoded are fetched, like those that are missing.
 	heartbeat.Records, heartbeat.RecordsError = Decode(message.GetRecords())
-	heartbeat.Revision, heartbeat.Leaving, heartbeat.SourceUnreachable = rattanwood.Revision(message.GetVersion()), message.GetLeaving(), message.GetBlind()
+	heartbeat.Position, heartbeat.Leaving, heartbeat.SourceUnreachable = rattanwood.Position(message.GetVersion()), message.GetLeaving(), message.GetBlind()
+	heartbeat.Settling = message.GetSettling()
 	heartbeat.Age, heartbeat.Confirmed = DecodeAge(message.GetConfirmed())
 	heartbeat.Reader, heartbeat.ConfirmationSeq = watcher.ReaderID(message.GetReader()), message.GetConfirmation()
 	for _, l := range message.GetLoads() {
@@ -70,9 +71,9 @@
 	return heartbeat, true
 }
 
-// RequestFetch fetches the changes after a revision from a balancer that has a newer one, unless a
+// RequestFetch fetches the changes after a position from a balancer that has a newer one, unless a
 // fetch is under way that began within fetchRetryInterval.
-func (m *Messenger) RequestFetch(now time.Duration, vm rattanwood.VMID, after rattanwood.Revision) {
+func (m *Messenger) RequestFetch(now time.Duration, vm rattanwood.VMID, after rattanwood.Position) {
 	sender, ok := m.Members.Member(vm)
 	if !ok || m.fetchStarted != 0 && now-m.fetchStarted < fetchRetryInterval {
 		return
--- a/source.go
+++ b/source.go
@@ -8,16 +8,40 @@
 	"time"
 )
 
-// Revision numbers the changes of a Source. It only increases.
+// Position is a point in the history of a Source: an era in the upper 16 bits, and in the lower 48 the
+// number of the last change in that era. It only increases; numbers start again in a new era.
+type Position uint64
+
+// revisionBits is the number of bits of a Position that hold the revision.
+const revisionBits = 48
+
+// Era counts how often a Source came back from an older copy of itself, losing its last changes.
+type Era uint16
+
+// Revision numbers the changes of a Source within an era.
 type Revision uint64
 
+// NewPosition returns the position of a revision, which must be less than 1<<48, in an era.
+func NewPosition(era Era, revision Revision) Position {
+	return Position(era)<<revisionBits | Position(revision)
+}
+
+// Era returns the era of the position.
+func (p Position) Era() Era { return Era(p >> revisionBits) }
+
+// Revision returns the number of the change within the era.
+func (p Position) Revision() Revision { return Revision(p & (1<<revisionBits - 1)) }
+
+// String returns the era and the revision.
+func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Era(), p.Revision()) }
+
 // Record is a key of a Source with its value, whose format is known only to an Interpreter.
 type Record struct {
 	Key string
 	// Value is empty if Deleted is set.
 	Value []byte
-	// Revision is the revision of the record's last change.
-	Revision Revision
+	// Position is that of the record's last change.
+	Position Position
 	// Deleted marks a tombstone.
 	Deleted bool
 }
@@ -27,14 +51,15 @@
 	Records []Record
 	// More is set if the listing continues after this page.
 	More bool
-	// Revision is the revision of the source at the time of the answer.
-	Revision Revision
+	// Position is that of the source at the time of the answer.
+	Position Position
 }
 
-// Changes holds the records that changed after some earlier revision, up to and including Revision.
+// Changes holds the records that changed after some earlier position, up to and including Position. They
+// are useless if Position is in a later era: changes before it are missing.
 type Changes struct {
 	Records  []Record
-	Revision Revision
+	Position Position
 }
 
 // Source is a read-only view of a versioned key-value store. Calls fail with a SourceError, or
@@ -46,14 +71,17 @@
 	// ListUpstreams is like List, but returns only the records of upstreams. They are a small part of all
 	// records and may be seconds old. They suffice to forward packets of established flows.
 	ListUpstreams(ctx context.Context, after string) (Page, error)
-	// Watch blocks until there are changes after a revision and returns them. After wait it returns none.
-	Watch(ctx context.Context, after Revision, wait time.Duration) (Changes, error)
+	// Watch blocks until there are changes after a position and returns them. After wait it returns none.
+	Watch(ctx context.Context, after Position, wait time.Duration) (Changes, error)
 }
 
 // Interpreter decodes records.
 type Interpreter interface {
 	// Interpret decodes a record that is not deleted, or fails with a RecordError.
 	Interpret(r Record) (Entity, error)
+	// Supersedes reports whether the author of a key wrote one value of it after another. It doesn't if
+	// the values don't tell, or are the same.
+	Supersedes(later, earlier Record) bool
 	// Instance returns the upstream whose registration is stored under a key. ok is false if the key is
 	// not that of an upstream.
 	Instance(key string) (id InstanceID, ok bool)
@@ -181,14 +209,14 @@
 // Unwrap returns the underlying error.
 func (e *SourceError) Unwrap() error { return e.Cause }
 
-// LostHistoryError reports that a Source no longer has the changes after a revision.
+// LostHistoryError reports that a Source no longer has the changes after a position.
 type LostHistoryError struct {
-	After Revision
+	After Position
 }
 
 // Error returns the revision.
 func (e *LostHistoryError) Error() string {
-	return fmt.Sprintf("source no longer has the changes after revision %d", e.After)
+	return fmt.Sprintf("source no longer has the changes after position %s", e.After)
 }
 
 // RecordError reports a record that can't be decoded.
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -308,6 +308,18 @@
 	s.mu.Lock()
 	s.routeHistory[address] = append(s.routeHistory[address], routeChange{service: service, changedAt: time.Now()})
 	s.mu.Unlock()
+	s.publishRoutesLocked()
+}
+
+// publishRoutes writes the current routing to the store.
+func (s *soakRun) publishRoutes() {
+	s.routesMu.Lock()
+	defer s.routesMu.Unlock()
+	s.publishRoutesLocked()
+}
+
+// publishRoutesLocked is publishRoutes with routesMu held.
+func (s *soakRun) publishRoutesLocked() {
 	r := &rattanwood.Routing{Version: s.routingVersion, HealthPaths: map[rattanwood.ServiceID]string{serviceSwap: "/", serviceMaps: "/"}}
 	for address, service := range s.activeRoutes {
 		r.Routes = append(r.Routes, rattanwood.Route{
--- a/standins/soaker/upstream.go
+++ b/standins/soaker/upstream.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"example.org/rattanwood"
@@ -43,6 +44,9 @@
 	udp          *net.UDPConn
 	healthServer *http.Server
 	startedAt    time.Time
+	// registrations counts the times that the upstream registered, and registration is the last value.
+	registrations atomic.Int64
+	registration  atomic.Pointer[[]byte]
 
 	mu            sync.Mutex
 	flows         map[flowEnds]*upstreamFlow
@@ -104,12 +108,17 @@
 
 // register writes the upstream's registration to the store.
 func (u *upstream) register() {
-	u.monitor.store.put(emulator.RegistrationKey(u.id), emulator.EncodeRegistration(rattanwood.Registration{
+	value := emulator.EncodeRegistration(rattanwood.Registration{
 		Service: u.service, Address: netip.MustParseAddrPort(u.link.listenAddress), DataCentre: dataCentre,
 		Slots: 2, Draining: u.isDraining(), StartTime: u.startedAt.UnixMilli(),
-	}))
+	}, int(u.registrations.Add(1)))
+	u.registration.Store(&value)
+	u.monitor.store.put(emulator.RegistrationKey(u.id), value)
 }
 
+// lastRegistration returns the value that the upstream registered last.
+func (u *upstream) lastRegistration() []byte { return *u.registration.Load() }
+
 // unregister removes the upstream's registration from the store.
 func (u *upstream) unregister() { u.monitor.store.put(emulator.RegistrationKey(u.id), nil) }
 
