Pass on only whole answers to the own request, and answer all at a planned stop

The faults that operators of similar systems met, on the product's own requests: - A late second copy of a response on a reused connection was taken for that of the next request, or for a health state. Responses are matched by Request-Id; only connections of upstreams that name it are reused, and health checks have connections of their own. - Connections that the system had accepted were reset when the listener closed. They are served for 100 ms more, each for one request; the last requests of a shutdown that takes too long get a final answer. - A response over 1 MiB was cut off and passed on as whole, and so was one without a length whose connection broke. Both are unknown outcomes now. - A redirect (302) sent a request on to another address. Redirects aren't followed.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -178,6 +178,22 @@
 // refused.
 func (e *Executor) BeginShutdown() { e.shuttingDown = true }
 
+// EndShutdown gives a final answer to all requests that are still under way, when the time for a graceful
+// shutdown is over.
+func (e *Executor) EndShutdown(now time.Duration) {
+	// Requests on upstreams come last: a slot that one of them gives back must not send another.
+	for _, onUpstream := range []bool{false, true} {
+		for _, r := range slices.Clone(e.submitted) {
+			if (r.phase == sending) != onUpstream {
+				continue
+			}
+			r.mayHaveRun = r.mayHaveRun || onUpstream
+			e.cancel(now, r)
+			e.finish(now, r, r.resultWithoutAnswer(ReasonShuttingDown))
+		}
+	}
+}
+
 // phase is what an unfinished request is waiting for.
 type phase uint8
 
--- a/executor/faults_test.go
+++ b/executor/faults_test.go
@@ -8,6 +8,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"example.org/rattanwood"
+	"example.org/rattanwood/claimer"
+	"example.org/rattanwood/executor"
 )
 
 var (
@@ -102,3 +104,47 @@
 		})
 	}
 }
+
+// TestShutdownTimeoutAnswersAll has the time for a graceful shutdown end while requests are in each phase. Each
+// Caller must get a final answer, and a refusal only if no upstream can have begun the request.
+func TestShutdownTimeoutAnswersAll(t *testing.T) {
+	tests := map[string]struct {
+		idempotent bool
+		slotOwner  rattanwood.VMID
+		// busy is the number of other requests that have taken the slots, of which there are four.
+		busy int
+		kind claimer.Kind
+	}{
+		"on an upstream":       {true, "a", 0, claimer.Unknown},
+		"in the queue":         {true, "a", 4, claimer.Refused},
+		"waiting for a lease":  {true, "b", 0, claimer.Refused},
+		"waiting for replicas": {false, "a", 0, claimer.Refused},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			e := newExecutor(test.slotOwner)
+			for range test.busy {
+				e.Submit(up, request(true))
+			}
+			token := e.Submit(up, request(test.idempotent))
+			e.TakeActions()
+			e.BeginShutdown()
+			e.EndShutdown(up + 100*time.Millisecond)
+			c.Assert(e.Len(), qt.Equals, 0)
+			replies := 0
+			for _, a := range e.TakeActions() {
+				_, sent := a.(executor.Send)
+				c.Assert(sent, qt.IsFalse)
+				if r, ok := a.(executor.Reply); ok {
+					replies++
+					if r.Token == token {
+						c.Assert(r.Result.Kind, qt.Equals, test.kind)
+						c.Assert(r.Result.Reason, qt.Equals, executor.ReasonShuttingDown)
+					}
+				}
+			}
+			c.Assert(replies, qt.Equals, test.busy+1)
+		})
+	}
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -30,8 +30,8 @@
 }
 
 // TCP opens a listening TCP socket.
-func TCP(address netip.AddrPort) (net.Listener, error) {
-	lis, err := net.Listen("tcp", address.String())
+func TCP(address netip.AddrPort) (*net.TCPListener, error) {
+	lis, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, oops.Code("listen").With("address", address.String()).Wrap(err)
 	}
@@ -48,7 +48,7 @@
 }
 
 // CloseAll closes sockets. Those that haven't been opened may be nil.
-func CloseAll(conns []*net.UDPConn, listeners []net.Listener) {
+func CloseAll(conns []*net.UDPConn, listeners []*net.TCPListener) {
 	for _, c := range conns {
 		if c != nil {
 			_ = c.Close()
@@ -61,18 +61,43 @@
 	}
 }
 
-// ServeHTTP serves HTTP until ctx ends. Requests in progress may then take up to grace to finish.
-func ServeHTTP(ctx context.Context, lis net.Listener, handler http.Handler, grace time.Duration) error {
-	srv := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	done := make(chan error, 1)
-	go func() { done <- srv.Serve(lis) }()
-	select {
-	case err := <-done:
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
+// acceptGrace is how long connections are still accepted after the end of ctx. The system has established
+// those in its queue already, and closing the listener would reset them.
+const acceptGrace = 100 * time.Millisecond
+
+// lastingListener accepts connections until acceptGrace after the end of a context. Accept then fails with
+// http.ErrServerClosed.
+type lastingListener struct {
+	*net.TCPListener
+}
+
+func newLastingListener(ctx context.Context, lis *net.TCPListener) *lastingListener {
+	context.AfterFunc(ctx, func() { _ = lis.SetDeadline(time.Now().Add(acceptGrace)) })
+	return &lastingListener{TCPListener: lis}
+}
+
+// Accept implements net.Listener.
+func (l *lastingListener) Accept() (net.Conn, error) {
+	conn, err := l.TCPListener.Accept()
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return nil, http.ErrServerClosed
+	}
+	return conn, err
+}
+
+// ServeHTTP serves HTTP until ctx ends and then closes the listener. Connections that the system has accepted by
+// then are still served, each for one request, and requests in progress may take up to grace to finish.
+func ServeHTTP(ctx context.Context, lis *net.TCPListener, handler http.Handler, grace time.Duration) error {
+	last := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if ctx.Err() != nil {
+			w.Header().Set("Connection", "close")
 		}
+		handler.ServeHTTP(w, r)
+	})
+	srv := &http.Server{Handler: last, ReadHeaderTimeout: headerTimeout}
+	if err := srv.Serve(newLastingListener(ctx, lis)); !errors.Is(err, http.ErrServerClosed) {
 		return IgnoreClosed(ctx, err)
-	case <-ctx.Done():
 	}
 	closeCtx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,8 +104,8 @@
 	background sync.WaitGroup
 	tunnel     *net.UDPConn
 	peerUDP    *net.UDPConn
-	peerTCP    net.Listener
-	web        net.Listener
+	peerTCP    *net.TCPListener
+	web        *net.TCPListener
 }
 
 // New builds the decision logic and opens the balancer's sockets.
@@ -280,10 +280,10 @@
 	n.log.Warn("stopped while packets were still arriving", zap.Duration("after", limit))
 }
 
-// close closes the sockets and the unused connections.
+// close closes the unused connections and the sockets, except that of serveWeb, which closes it itself.
 func (n *Node) close() {
 	n.peers.Close()
-	listener.CloseAll([]*net.UDPConn{n.tunnel, n.peerUDP}, []net.Listener{n.peerTCP, n.web})
+	listener.CloseAll([]*net.UDPConn{n.tunnel, n.peerUDP}, []*net.TCPListener{n.peerTCP})
 }
 
 // now returns the time since the process started, which is the clock of the decision logic.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -82,8 +82,8 @@
 	runCtx    context.Context
 	tunnel    *net.UDPConn
 	peerUDP   *net.UDPConn
-	peerTCP   net.Listener
-	web       net.Listener
+	peerTCP   *net.TCPListener
+	web       *net.TCPListener
 	upstreams *upstreams
 }
 
@@ -218,6 +218,7 @@
 		select {
 		case <-ctx.Done():
 			s.log.Warn("shutdown timeout expired before flows and requests were finished", zap.String(logger.KeyReason, "deadline"))
+			s.handleEvent(s.exec.EndShutdown)
 			return
 		case <-time.After(tickPeriod):
 		}
@@ -233,7 +234,7 @@
 
 func (s *Server) close() {
 	s.peers.Close()
-	listener.CloseAll([]*net.UDPConn{s.tunnel, s.peerUDP}, []net.Listener{s.peerTCP, s.web})
+	listener.CloseAll([]*net.UDPConn{s.tunnel, s.peerUDP}, []*net.TCPListener{s.peerTCP})
 }
 
 // now returns the time since the server was created, the clock of the decision logic.
--- a/internal/server/upstreams.go
+++ b/internal/server/upstreams.go
@@ -10,13 +10,14 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
 	"time"
 
 	"example.org/rattanwood"
 	"example.org/rattanwood/marker"
 )
 
-// Headers of requests to upstreams and of their responses.
+// Headers of requests to upstreams and of their responses. A response should repeat the request's id.
 const (
 	headerID       = "Request-Id"
 	headerService  = "Service"
@@ -27,7 +28,7 @@
 // runHeaderNone is the value of the Run header by which an upstream says that it did not start a request.
 const runHeaderNone = "none"
 
-// maxResponseBytes is the largest response body that is read from an upstream. A longer one is cut off.
+// maxResponseBytes is the largest response body that is accepted from an upstream.
 const maxResponseBytes = 1 << 20
 
 // maxIdleConnsPerUpstream is the number of idle HTTP connections kept open to one upstream.
@@ -36,13 +37,42 @@
 // upstreams is the HTTP client for requests and health checks, shared by all upstreams.
 type upstreams struct {
 	http *http.Client
+	// mu guards namesRequests.
+	mu sync.Mutex
+	// namesRequests holds the upstreams whose last response named its request. Only their connections are
+	// reused: on the others, a late second copy of a response would be taken for that of the next request.
+	namesRequests map[netip.AddrPort]bool
 }
 
 func newUpstreams() *upstreams {
-	return &upstreams{http: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
-		IdleConnTimeout:     30 * time.Second,
-	}}}
+	return &upstreams{
+		http: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
+				IdleConnTimeout:     30 * time.Second,
+			},
+			// A request that is sent on to another address might run twice.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		namesRequests: map[netip.AddrPort]bool{},
+	}
+}
+
+// reusesConnections reports whether connections to an upstream may be reused.
+func (u *upstreams) reusesConnections(web netip.AddrPort) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.namesRequests[web]
+}
+
+func (u *upstreams) setNamesRequests(web netip.AddrPort, names bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if names {
+		u.namesRequests[web] = true
+	} else {
+		delete(u.namesRequests, web)
+	}
 }
 
 // checkHealth asks an upstream for its health state. An upstream without a valid response within the
@@ -54,6 +84,8 @@
 	if err != nil {
 		return marker.Down
 	}
+	// A late response to an earlier request must not be taken for a health state.
+	req.Close = true
 	res, err := u.http.Do(req)
 	if err != nil {
 		return marker.Down
@@ -121,12 +153,19 @@
 		}
 		req.Header.Set(headerDeadline, strconv.FormatInt(remaining.Milliseconds(), 10))
 	}
+	reused := u.reusesConnections(r.web)
+	req.Close = !reused
 	res, err := u.http.Do(req)
 	if err != nil {
 		return nil, classifySendError(err)
 	}
 	defer func() { _ = res.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	named := res.Header.Get(headerID)
+	u.setNamesRequests(r.web, named == string(r.id))
+	if named != string(r.id) && (named != "" || reused) {
+		return nil, &IncompleteResponseError{Cause: errOtherRequest}
+	}
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
 	switch {
 	case res.Header.Get(headerRun) == runHeaderNone:
 		return nil, &NotRunError{Reason: "shed"}
@@ -134,6 +173,10 @@
 		return nil, &IncompleteResponseError{Cause: err}
 	case res.StatusCode != http.StatusOK:
 		return nil, &IncompleteResponseError{Cause: &StatusError{Status: res.StatusCode}}
+	case len(data) > maxResponseBytes:
+		return nil, &IncompleteResponseError{Cause: errTooLong}
+	case res.ContentLength < 0 && len(res.TransferEncoding) == 0 && !res.Uncompressed:
+		return nil, &IncompleteResponseError{Cause: errUnknownLength}
 	}
 	return data, nil
 }
@@ -148,6 +191,15 @@
 	return &IncompleteResponseError{Cause: err}
 }
 
+// Causes of an IncompleteResponseError: the response names another request, or none although the upstream named
+// those before; it is longer than maxResponseBytes; or it has neither a length nor chunks, so that a broken
+// connection looks like its end.
+var (
+	errOtherRequest  = errors.New("response to another request")
+	errTooLong       = errors.New("response is too long")
+	errUnknownLength = errors.New("response of unknown length")
+)
+
 // StatusError reports a response with an unexpected HTTP status.
 type StatusError struct {
 	Status int
--- a/standins/upstream/upstream.go
+++ b/standins/upstream/upstream.go
@@ -137,6 +137,7 @@
 		return
 	}
 	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
 	duration, ok := u.startRequest(id, r.Header.Get("Service"))
 	if !ok {
 		w.Header().Set("Run", "none")
