List upstreams once at a start, and routes after them

Change: one consistent listing, upstreams first, then the rest; what was applied early isn't decoded again. A listing that took long is brought up to date before new flows. Keys that no listing returns are left out. Cost: a full call instead of a tenth of one a start.

Ruled out: a watch from the position of a stale listing, since a stale answer may name a newer position.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,9 +92,9 @@
 	startedForwarding chan struct{}
 	forwarding        bool
 	becameReady       chan struct{}
-	// currentUpstreams holds the upstreams whose registration came from a full listing, from changes or from
-	// a peer, and not only from loadUpstreams, whose listing may be out of date. It is nil once ready is set.
-	currentUpstreams map[rattanwood.InstanceID]bool
+	// earlyUpstreams holds the upstreams that applyEarly applied, by key with their positions. It is nil once
+	// ready is set.
+	earlyUpstreams map[string]rattanwood.Position
 	// heldPackets are the first packets of flows that arrived before ready was set.
 	heldPackets []heldPacket
 	counters    counters
@@ -120,7 +120,7 @@
 		timings:           newTimings(),
 		startedForwarding: make(chan struct{}),
 		becameReady:       make(chan struct{}),
-		currentUpstreams:  map[rattanwood.InstanceID]bool{},
+		earlyUpstreams:    map[string]rattanwood.Position{},
 	}
 	random := rand.New(rand.NewPCG(uint64(cfg.Incarnation), 0))
 	set := cfg.Settings
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +12,7 @@
 	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
 	"example.org/rattanwood/internal/settings"
+	"example.org/rattanwood/replicator"
 	"example.org/rattanwood/tagger"
 )
 
@@ -44,57 +46,18 @@
 		case complete:
 			n.readChanges(ctx)
 		default:
-			if n.loadUpstreams(ctx) {
-				n.readAll(ctx)
-			}
+			n.readAll(ctx)
 		}
 	}
 	return nil
 }
 
-// fromUpstreamListing is the origin of records that loadUpstreams received. It is logged in place of the
-// balancer that sent the records.
-const fromUpstreamListing = "glance"
-
 // fromSettled is the origin of records that come into effect because those that the source had lost on its
-// return weren't written again. It is logged like fromUpstreamListing.
+// return weren't written again.
 const fromSettled = "settled"
 
-// loadUpstreams lists only the upstreams, unless forwarding has started already, and then starts forwarding.
-// Established flows need no routes, and listing all records may take far longer: when a whole fleet
-// starts, the routes saturate the source's link. It returns false if the source doesn't answer.
-func (n *Node) loadUpstreams(ctx context.Context) bool {
-	n.mu.Lock()
-	forwarding := n.forwarding
-	n.mu.Unlock()
-	if forwarding {
-		return true
-	}
-	after := ""
-	for range maxPages {
-		p, err := n.fetchPage(ctx, n.cfg.Source.ListUpstreams, after)
-		if err != nil {
-			n.handleReadError(ctx, err)
-			return false
-		}
-		n.mu.Lock()
-		if !n.replica.Complete() {
-			now := n.now()
-			for _, r := range p.Records {
-				n.applyRecord(now, fromUpstreamListing, r)
-			}
-		}
-		n.mu.Unlock()
-		if !p.More || len(p.Records) == 0 {
-			break
-		}
-		after = p.Records[len(p.Records)-1].Key
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.startForwarding()
-	return true
-}
+// fromSource is the origin of records that this balancer read itself.
+const fromSource = "source"
 
 // startForwarding lets tunnelLoop handle packets. The calling code must hold mu.
 func (n *Node) startForwarding() {
@@ -108,24 +71,80 @@
 	}
 }
 
-// readAll lists all records. Pages may be of different revisions, so the listing counts as that of the first
-// page's position, and the changes since then are read afterwards.
+// readAll lists all records, upstreams first. Forwarding begins with them, since established flows need no
+// routes, and these may be far larger: when a whole fleet starts, its listings saturate the source's link.
+// Pages may be of different revisions, so the listing counts as that of the first page's position, and the
+// changes since then are read afterwards.
 func (n *Node) readAll(ctx context.Context) {
-	var records []rattanwood.Record
-	var position rattanwood.Position
-	after, began := "", n.now()
+	began := n.now()
+	upstreams, position, ok := n.readPages(ctx, n.cfg.Source.ListUpstreams)
+	if !ok {
+		return
+	}
+	n.applyEarly(upstreams)
+	routes, routesPosition, ok := n.readPages(ctx, n.cfg.Source.ListRoutes)
+	if !ok {
+		return
+	}
+	if routesPosition.Era() != position.Era() {
+		n.log.Warn("source began a new era during a listing", zap.Inline(logger.Position(routesPosition)))
+		return
+	}
+	records := append(upstreams, routes...)
+	if n.now()-began > maxAnswerAge {
+		// Upstreams may have left since they were listed, and must not get new flows.
+		began = n.now()
+		if records, position, ok = n.updateListing(ctx, records, position); !ok {
+			return
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	update, ok := n.copier.HandleListing(now, began, records, position)
+	if !ok {
+		n.log.Warn("listing of an earlier era ignored", zap.Inline(logger.Position(position)))
+		n.copier.HandleFailure(now)
+		return
+	}
+	n.applyUpdate(now, fromSource, update)
+}
+
+// updateListing applies the changes since a listing to its records, and returns these and their position.
+func (n *Node) updateListing(ctx context.Context, records []rattanwood.Record, position rattanwood.Position) ([]rattanwood.Record, rattanwood.Position, bool) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	n.counters.sourceCalls.Add(1)
+	changes, err := n.cfg.Source.Watch(ctx, position, 0)
+	if err != nil {
+		n.handleReadError(ctx, err)
+		return nil, 0, false
+	}
+	if changes.Position.Era() != position.Era() {
+		return nil, 0, false
+	}
+	listing := replicator.New()
+	listing.ReplaceAll(records, position)
+	listing.Apply(position, changes)
+	updated, _ := listing.ChangesSince(0)
+	return slices.DeleteFunc(updated, func(r rattanwood.Record) bool { return r.Deleted }), listing.Position(), true
+}
+
+// readPages reads all pages of a listing and returns its records and the position of the first page.
+func (n *Node) readPages(ctx context.Context, call func(context.Context, string) (rattanwood.Page, error)) (records []rattanwood.Record, position rattanwood.Position, ok bool) {
+	after := ""
 	for i := range maxPages {
-		p, err := n.fetchPage(ctx, n.cfg.Source.List, after)
+		p, err := n.fetchPage(ctx, call, after)
 		if err != nil {
 			n.handleReadError(ctx, err)
-			return
+			return nil, 0, false
 		}
 		if i == 0 {
 			position = p.Position
 		}
 		if p.Position.Era() != position.Era() {
 			n.log.Warn("source began a new era during a listing", zap.Inline(logger.Position(p.Position)))
-			return
+			return nil, 0, false
 		}
 		records = append(records, p.Records...)
 		if !p.More || len(p.Records) == 0 {
@@ -133,16 +152,24 @@
 		}
 		after = p.Records[len(p.Records)-1].Key
 	}
+	return records, position, true
+}
+
+// applyEarly applies the upstreams of a first listing before its routes are known, and starts forwarding.
+func (n *Node) applyEarly(upstreams []rattanwood.Record) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.now()
-	update, ok := n.copier.HandleListing(now, began, records, position)
-	if !ok {
-		n.log.Warn("listing of an earlier era ignored", zap.Inline(logger.Position(position)))
-		n.copier.HandleFailure(now)
+	if n.replica.Complete() {
 		return
 	}
-	n.applyUpdate(now, "source", update)
+	now := n.now()
+	for _, r := range upstreams {
+		if n.earlyUpstreams[r.Key] != r.Position {
+			n.earlyUpstreams[r.Key] = r.Position
+			n.applyRecord(now, fromSource, r)
+		}
+	}
+	n.startForwarding()
 }
 
 // fetchPage makes one call of a listing.
@@ -190,7 +217,7 @@
 	}
 	update, ok := n.copier.HandleChanges(now, max(began, now-maxAnswerAge), prior, changes)
 	if ok {
-		n.applyUpdate(now, "source", update)
+		n.applyUpdate(now, fromSource, update)
 	}
 	n.mu.Unlock()
 	if !ok {
@@ -224,6 +251,9 @@
 func (n *Node) applyRecords(now time.Duration, from string, changed []rattanwood.Record) {
 	urgent := false
 	for _, r := range changed {
+		if early, ok := n.earlyUpstreams[r.Key]; ok && early == r.Position && !r.Deleted {
+			continue
+		}
 		urgent = n.applyRecord(now, from, r) || urgent
 	}
 	if urgent {
@@ -252,18 +282,15 @@
 	}
 }
 
-// removeOutdatedUpstreams removes the upstreams that loadUpstreams found but that the complete records no
-// longer contain. The calling code must hold mu.
+// removeOutdatedUpstreams removes the upstreams that applyEarly found but that the complete records no longer
+// contain. The calling code must hold mu.
 func (n *Node) removeOutdatedUpstreams(now time.Duration) {
-	for _, id := range n.tagger.Registered() {
-		r, _, _ := n.tagger.Upstream(id)
-		if !n.currentUpstreams[r.Instance] {
-			n.tagger.RemoveRegistration(now, r.Instance)
-			// The logged origin is fromUpstreamListing.
-			n.log.Info("upstream removed", zap.Stringer(logger.KeyUpstream, id), zap.String(logger.KeyPeer, "glance"))
+	for key := range n.earlyUpstreams {
+		if r, ok := n.replica.Find(key); !ok || r.Deleted {
+			n.applyRecord(now, fromSource, rattanwood.Record{Key: key, Position: n.replica.Position(), Deleted: true})
 		}
 	}
-	n.currentUpstreams = nil
+	n.earlyUpstreams = nil
 }
 
 // applyRecord applies one record to the decision logic. It returns true if other balancers should learn of it
@@ -298,9 +325,6 @@
 			n.logChange("routing configuration applied", from, r, zap.Uint64(logger.KeyVersion, uint64(e.Version)), zap.Int("routes", len(e.Routes)), zap.Int("invalid", e.InvalidRoutes))
 		}
 	case *rattanwood.Registration:
-		if n.currentUpstreams != nil && from != fromUpstreamListing {
-			n.currentUpstreams[e.Instance] = true
-		}
 		switch n.tagger.SetRegistration(now, *e) {
 		case tagger.RegistrationUnchanged:
 			// Only the remaining warm-up time has changed, which an upstream updates with each of its heartbeats.
