Count a request by how long it took when flows are placed

Cause: load was the number of requests, so that an upstream that turns slow kept its share of the new flows.

Change: the time from a request to the first acknowledgement of its response, against the mean of its route, corrects the load that was counted for it; the load travels as before.

Ruled out: power of two choices on what a node sees itself; a node of the RTK network sees two requests a second and upstream.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -24,7 +24,7 @@
 	DataCentre rattanwood.DataCentre
 	// Window is the time in which the weight of past load decays to 1/e.
 	Window time.Duration
-	// ExpectedFlowLoad is the number of requests that a new flow is expected to send in a window.
+	// ExpectedFlowLoad is the number of requests that a long flow is expected to send in a window.
 	ExpectedFlowLoad float64
 	// Excess is the fraction by which the load of an upstream in the own data centre may exceed the
 	// mean of its service before new flows spill over to other data centres.
@@ -65,7 +65,8 @@
 	Local bool
 }
 
-// Load is the number of requests that an upstream was given lately, decayed over the window.
+// Load is the number of requests that an upstream was given lately, decayed over the window. A request that
+// took longer than others counts for more.
 type Load struct {
 	Requests float64
 	// Failures are the requests that were not answered, or only by what looks like an error.
@@ -127,9 +128,21 @@
 	}
 }
 
-// AddFlow counts a flow that was placed on an upstream.
-func (p *Placer) AddFlow(now time.Duration, id rattanwood.UpstreamID) {
-	p.addLoad(now, id, Load{Requests: p.cfg.ExpectedFlowLoad})
+// AddFlow counts a flow that was placed on an upstream, with the number of requests that it is expected to
+// send in a window. The number is limited to ExpectedFlowLoad.
+func (p *Placer) AddFlow(now time.Duration, id rattanwood.UpstreamID, expected float64) {
+	p.addLoad(now, id, Load{Requests: min(expected, p.cfg.ExpectedFlowLoad)})
+}
+
+// maxSlowness limits what a single slow response counts for.
+const maxSlowness = 8
+
+// AddResponse corrects the load for a request that took slowness times as long as others of its route. An
+// upstream that is slow, or has a queue, so gets fewer flows.
+func (p *Placer) AddResponse(now time.Duration, id rattanwood.UpstreamID, slowness float64) {
+	own := p.OwnLoad(now, id)
+	own.Requests = max(own.Requests+min(slowness, maxSlowness)-1, 0)
+	p.ownLoad[id] = timedLoad{Load: own, at: now}
 }
 
 // AddRequest counts a request that was forwarded to an upstream.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -56,7 +57,7 @@
 // from now on.
 func (f *fleet) place(balancer int) rattanwood.UpstreamID {
 	id := f.candidates[balancer][f.balancers[balancer].Pick(f.now, f.candidates[balancer])].ID
-	f.balancers[balancer].AddFlow(f.now, id)
+	f.balancers[balancer].AddFlow(f.now, id, math.Inf(1))
 	f.flows[id]++
 	f.placed[id]++
 	f.total++
--- a/tagger/outcome.go
+++ b/tagger/outcome.go
@@ -1,6 +1,8 @@
 package tagger
 
 import (
+	"math"
+	"net/netip"
 	"time"
 
 	"example.org/rattanwood"
@@ -15,10 +17,10 @@
 	// counts as short. Responses of one route differ by a factor of three at users' sites; an error
 	// has hardly more than a header.
 	shortResponseRatio = 0.3
-	// minSizeSamples is the number of responses from which on a route's mean size is trusted.
-	minSizeSamples = 20
-	// sizeSampleWindow is the number of responses that the mean size is taken over.
-	sizeSampleWindow = 100
+	// minSamples is the number of samples from which on a mean is trusted.
+	minSamples = 20
+	// sampleWindow is the number of samples that a mean is taken over.
+	sampleWindow = 100
 	// responseSettleTime is the time without a packet after which a response counts as complete:
 	// Callers acknowledge every second packet, and the last one after 40 ms.
 	responseSettleTime = 150 * time.Millisecond
@@ -44,15 +46,59 @@
 	Size, MeanSize int
 }
 
-// sizeAverage is the mean size in bytes of a route's responses.
-type sizeAverage struct {
+// average is a moving mean over sampleWindow samples.
+type average struct {
 	mean  float64
 	count int
 }
 
-func (s *sizeAverage) add(size float64) {
-	s.count = min(s.count+1, sizeSampleWindow)
-	s.mean += (size - s.mean) / float64(s.count)
+func (a *average) add(sample float64) {
+	a.count = min(a.count+1, sampleWindow)
+	a.mean += (sample - a.mean) / float64(a.count)
+}
+
+// trusted reports whether there are enough samples to compare others with the mean.
+func (a *average) trusted() bool { return a.count >= minSamples }
+
+// routeAverages are what the requests of a route have in common: the size of their responses in bytes, the
+// seconds until a response begins, and the number of requests in a flow.
+type routeAverages struct {
+	size, latency, requests average
+}
+
+// averagesOf returns the averages of a route, which are empty for a new one.
+func (t *Tagger) averagesOf(target netip.AddrPort) *routeAverages {
+	a := t.averages[target]
+	if a == nil {
+		a = &routeAverages{}
+		t.averages[target] = a
+	}
+	return a
+}
+
+// expectedRequests returns how many requests a new flow of a route is expected to send after its first one.
+func (t *Tagger) expectedRequests(target netip.AddrPort) float64 {
+	if a := t.averages[target]; a != nil && a.requests.trusted() {
+		return max(a.requests.mean-1, 0)
+	}
+	return math.Inf(1)
+}
+
+// countRequests adds the requests of a flow that ends to the average of its route.
+func (t *Tagger) countRequests(key flowKey, r *recentFlow) {
+	if r.opened && r.requests > 0 {
+		t.averagesOf(key.target).requests.add(float64(r.requests))
+	}
+}
+
+// recordLatency compares the time until a response began with that of other requests of the route.
+func (t *Tagger) recordLatency(now time.Duration, key flowKey, r *recentFlow) {
+	seconds := (now - r.requestSentAt).Seconds()
+	a := &t.averagesOf(key.target).latency
+	if a.trusted() && a.mean > 0 && !t.IsResuming(now) {
+		t.cfg.Placer.AddResponse(now, r.upstream, seconds/a.mean)
+	}
+	a.add(seconds)
 }
 
 // trackRequest updates the stage of a flow's last request. The packet must not be a retransmission
@@ -60,6 +106,7 @@
 func (t *Tagger) trackRequest(now time.Duration, key flowKey, r *recentFlow, s rattanwood.Segment) {
 	if r.stage == requestSent && int32(s.Ack-r.requestAck) > 0 {
 		r.stage, r.latestAck = responseStarted, s.Ack
+		t.recordLatency(now, key, r)
 	}
 	if int32(s.Ack-r.latestAck) > 0 {
 		// Acknowledgements may arrive out of order.
@@ -73,7 +120,8 @@
 		t.finishRequest(now, key, r)
 	case s.Length > 0 && r.stage != requestSent:
 		t.finishRequest(now, key, r)
-		r.stage, r.requestAck = requestSent, s.Ack
+		r.stage, r.requestAck, r.requestSentAt = requestSent, s.Ack, now
+		r.requests++
 		t.pendingRequests[key] = r
 	}
 }
@@ -82,12 +130,8 @@
 func (t *Tagger) finishRequest(now time.Duration, key flowKey, r *recentFlow) {
 	if r.stage == responseStarted {
 		size := float64(r.latestAck - r.requestAck)
-		average := t.responseSizes[key.target]
-		if average == nil {
-			average = &sizeAverage{}
-			t.responseSizes[key.target] = average
-		}
-		if average.count >= minSizeSamples && size < shortResponseRatio*average.mean {
+		average := &t.averagesOf(key.target).size
+		if average.trusted() && size < shortResponseRatio*average.mean {
 			t.recordFailure(now, r, r.segment, int(size))
 		} else {
 			average.add(size)
@@ -101,8 +145,8 @@
 func (t *Tagger) recordFailure(now time.Duration, r *recentFlow, s rattanwood.Segment, size int) {
 	t.cfg.Placer.AddFailure(now, r.upstream)
 	f := Failure{Segment: s, Upstream: r.upstream, Size: size}
-	if average := t.responseSizes[s.Target]; average != nil {
-		f.MeanSize = int(average.mean)
+	if a := t.averages[s.Target]; a != nil {
+		f.MeanSize = int(a.size.mean)
 	}
 	t.failures = append(t.failures, f)
 }
@@ -128,11 +172,11 @@
 	return out
 }
 
-// removeUnroutedSizes drops the mean sizes of routes that were deleted.
-func (t *Tagger) removeUnroutedSizes() {
-	for target := range t.responseSizes {
+// removeUnroutedAverages drops the averages of routes that were deleted.
+func (t *Tagger) removeUnroutedAverages() {
+	for target := range t.averages {
 		if t.routes[target] == nil {
-			delete(t.responseSizes, target)
+			delete(t.averages, target)
 		}
 	}
 }
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -47,7 +47,7 @@
 	if u == nil {
 		return t.resetIfCurrent(now, NoUpstream)
 	}
-	t.cfg.Placer.AddFlow(now, u.id)
+	t.cfg.Placer.AddFlow(now, u.id, t.expectedRequests(s.Target))
 	t.rememberFlow(now, s, u.id, packet)
 	return forward(u, reason)
 }
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -27,16 +27,20 @@
 	// lastSeen is the time of the newest packet.
 	lastSeen time.Duration
 	// stage is that of the last request, requestAck its acknowledgement number, and latestAck the
-	// highest one since.
+	// highest one since. requestSentAt is when the request arrived here.
 	stage                 requestStage
 	requestAck, latestAck uint32
+	requestSentAt         time.Duration
+	// opened is set if the flow's first packet arrived here, and requests counts its requests since.
+	opened   bool
+	requests int
 }
 
 func (t *Tagger) rememberFlow(now time.Duration, s rattanwood.Segment, id rattanwood.UpstreamID, packet []byte) {
 	if len(t.recentFlows) >= t.cfg.MaxRecentFlows {
 		return
 	}
-	t.recentFlows[keyOf(s)] = &recentFlow{upstream: id, opening: true, segment: s, packet: bytes.Clone(packet), lastSeen: now}
+	t.recentFlows[keyOf(s)] = &recentFlow{upstream: id, opening: true, opened: true, segment: s, packet: bytes.Clone(packet), lastSeen: now}
 }
 
 // observePacket counts a flow's requests and reports a retransmission to the prober, since the
@@ -55,6 +59,7 @@
 	r.opening, r.packet, r.lastSeen, r.segment.Ack = false, nil, now, s.Ack
 	switch {
 	case s.Flags.Has(rattanwood.FlagReset), s.Flags.Has(rattanwood.FlagClose):
+		t.countRequests(key, r)
 		delete(t.recentFlows, key)
 	case s.Length == 0:
 		r.segment.Flags = s.Flags
@@ -82,7 +87,7 @@
 		if u == nil || u.id == id {
 			continue
 		}
-		t.cfg.Placer.AddFlow(now, u.id)
+		t.cfg.Placer.AddFlow(now, u.id, t.expectedRequests(r.segment.Target))
 		r.upstream = u.id
 		t.counts[Forward][Reassigned]++
 		out = append(out, OutgoingPacket{Verdict: forward(u, Reassigned), Segment: r.segment, Packet: r.packet})
@@ -115,6 +120,7 @@
 func (t *Tagger) removeExpiredFlows(now time.Duration) {
 	for key, r := range t.recentFlows {
 		if now-r.lastSeen > t.cfg.FlowRetentionTime {
+			t.countRequests(key, r)
 			delete(t.recentFlows, key)
 		}
 	}
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -179,8 +179,8 @@
 	recentFlows      map[flowKey]*recentFlow
 	// pendingRequests are the recent flows whose last request hasn't been assessed yet.
 	pendingRequests map[flowKey]*recentFlow
-	// responseSizes are the mean sizes of the responses by route.
-	responseSizes map[netip.AddrPort]*sizeAverage
+	// averages are those of the requests by route.
+	averages map[netip.AddrPort]*routeAverages
 	// failures are the failed requests that CollectFailures hasn't returned yet.
 	failures []Failure
 	// unknownTags holds for each tag of no known upstream when it was first seen.
@@ -204,7 +204,7 @@
 		services:        map[rattanwood.ServiceID][]*upstream{},
 		recentFlows:     map[flowKey]*recentFlow{},
 		pendingRequests: map[flowKey]*recentFlow{},
-		responseSizes:   map[netip.AddrPort]*sizeAverage{},
+		averages:        map[netip.AddrPort]*routeAverages{},
 		unknownTags:     map[rattanwood.UpstreamID]time.Duration{},
 	}
 }
@@ -236,7 +236,7 @@
 	for i := range r.Routes {
 		t.routes[r.Routes[i].Address] = &r.Routes[i]
 	}
-	t.removeUnroutedSizes()
+	t.removeUnroutedAverages()
 	return true
 }
 
