--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -39,7 +39,7 @@
 	down        bool
 	historyLost bool
 	calls       int
-	// listingBlocked makes listings of routes hang.
+	// listingBlocked makes listings of all records hang.
 	listingBlocked atomic.Bool
 }
 
@@ -79,12 +79,12 @@
 	return nil
 }
 
-// ListRoutes returns pages of two records. It hangs while listingBlocked is set.
-func (s *fakeSource) ListRoutes(ctx context.Context, after string) (rattanwood.Page, error) {
+// List returns pages of two records. It hangs while listingBlocked is set.
+func (s *fakeSource) List(ctx context.Context, after string) (rattanwood.Page, error) {
 	for s.listingBlocked.Load() && ctx.Err() == nil {
 		time.Sleep(10 * time.Millisecond)
 	}
-	return s.list(after, "op/")
+	return s.list(after, "")
 }
 
 // ListUpstreams returns pages of two upstreams.
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,7 +11,6 @@
 	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
 	"example.org/rattanwood/internal/settings"
-	"example.org/rattanwood/replicator"
 	"example.org/rattanwood/tagger"
 )
 
@@ -71,33 +69,26 @@
 	}
 }
 
-// readAll lists all records, upstreams first. Forwarding begins with them, since established flows need no
-// routes, and these may be far larger: when a whole fleet starts, its listings saturate the source's link.
-// Pages may be of different revisions, so the listing counts as that of the first page's position, and the
-// changes since then are read afterwards.
+// readAll lists all records. Before the first listing it lists only the upstreams and starts forwarding with
+// them: established flows need no routes, and listing everything may take far longer, since when a whole fleet
+// starts, its listings saturate the source's link. Pages may be of different revisions, so a listing counts as
+// that of the first page's position, and the changes since then are read afterwards.
 func (n *Node) readAll(ctx context.Context) {
-	began := n.now()
-	upstreams, position, ok := n.readPages(ctx, n.cfg.Source.ListUpstreams)
-	if !ok {
-		return
+	n.mu.Lock()
+	forwarding := n.forwarding
+	n.mu.Unlock()
+	if !forwarding {
+		upstreams, _, ok := n.readPages(ctx, n.cfg.Source.ListUpstreams)
+		if !ok {
+			return
+		}
+		n.applyEarly(upstreams)
 	}
-	n.applyEarly(upstreams)
-	routes, routesPosition, ok := n.readPages(ctx, n.cfg.Source.ListRoutes)
+	began := n.now()
+	records, position, ok := n.readPages(ctx, n.cfg.Source.List)
 	if !ok {
 		return
 	}
-	if routesPosition.Era() != position.Era() {
-		n.log.Warn("source began a new era during a listing", zap.Inline(logger.Position(routesPosition)))
-		return
-	}
-	records := append(upstreams, routes...)
-	if n.now()-began > maxAnswerAge {
-		// Upstreams may have left since they were listed, and must not get new flows.
-		began = n.now()
-		if records, position, ok = n.updateListing(ctx, records, position); !ok {
-			return
-		}
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
@@ -110,26 +101,6 @@
 	n.applyUpdate(now, fromSource, update)
 }
 
-// updateListing applies the changes since a listing to its records, and returns these and their position.
-func (n *Node) updateListing(ctx context.Context, records []rattanwood.Record, position rattanwood.Position) ([]rattanwood.Record, rattanwood.Position, bool) {
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
-	defer cancel()
-	n.counters.sourceCalls.Add(1)
-	changes, err := n.cfg.Source.Watch(ctx, position, 0)
-	if err != nil {
-		n.handleReadError(ctx, err)
-		return nil, 0, false
-	}
-	if changes.Position.Era() != position.Era() {
-		return nil, 0, false
-	}
-	listing := replicator.New()
-	listing.ReplaceAll(records, position)
-	listing.Apply(position, changes)
-	updated, _ := listing.ChangesSince(0)
-	return slices.DeleteFunc(updated, func(r rattanwood.Record) bool { return r.Deleted }), listing.Position(), true
-}
-
 // readPages reads all pages of a listing and returns its records and the position of the first page.
 func (n *Node) readPages(ctx context.Context, call func(context.Context, string) (rattanwood.Page, error)) (records []rattanwood.Record, position rattanwood.Position, ok bool) {
 	after := ""
@@ -155,7 +126,7 @@
 	return records, position, true
 }
 
-// applyEarly applies the upstreams of a first listing before its routes are known, and starts forwarding.
+// applyEarly applies the upstreams of a listing that may be out of date, and starts forwarding.
 func (n *Node) applyEarly(upstreams []rattanwood.Record) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -282,7 +253,7 @@
 	}
 }
 
-// removeOutdatedUpstreams removes the upstreams that applyEarly found but that the complete records no longer
+// removeOutdatedUpstreams removes the upstreams that applyEarly applied but that the complete records don't
 // contain. The calling code must hold mu.
 func (n *Node) removeOutdatedUpstreams(now time.Duration) {
 	for key := range n.earlyUpstreams {
--- a/source.go
+++ b/source.go
@@ -66,11 +66,11 @@
 // with a LostHistoryError if the requested changes are no longer available. Package platform
 // implements it.
 type Source interface {
-	// ListUpstreams returns a page of the records of upstreams whose keys sort after a key. An empty key starts
-	// the listing. They suffice to forward packets of established flows.
+	// List returns a page of the records whose keys sort after a key. An empty key starts the listing.
+	List(ctx context.Context, after string) (Page, error)
+	// ListUpstreams is like List, but returns only the records of upstreams. They are a small part of all
+	// records and may be seconds old. They suffice to forward packets of established flows.
 	ListUpstreams(ctx context.Context, after string) (Page, error)
-	// ListRoutes is like ListUpstreams, but returns all other records.
-	ListRoutes(ctx context.Context, after string) (Page, error)
 	// Watch blocks until there are changes after a position and returns them. After wait it returns none.
 	Watch(ctx context.Context, after Position, wait time.Duration) (Changes, error)
 }
--- a/standins/soaker/store.go
+++ b/standins/soaker/store.go
@@ -118,9 +118,9 @@
 	return nil
 }
 
-// ListRoutes implements rattanwood.Source.
-func (s *store) ListRoutes(_ context.Context, after string) (rattanwood.Page, error) {
-	return s.list(after, func(key string) bool { return key == emulator.RoutingKey })
+// List implements rattanwood.Source.
+func (s *store) List(_ context.Context, after string) (rattanwood.Page, error) {
+	return s.list(after, func(string) bool { return true })
 }
 
 // ListUpstreams implements rattanwood.Source.
