Wait for a peer that knows more before trusting a copy of the source

Change: heartbeats say whether their sender knows what the source lost. A new balancer waits up to 1 s for one that does, unless it hears of two that started as well and of none that knows. TestFleetStartsAfterReturn.

--- a/copier/copier.go
+++ b/copier/copier.go
@@ -36,10 +36,16 @@
 	// outdatedPeer is a balancer whose records were confirmed too long ago to start from them while the
 	// source may answer; it is empty if none was heard from.
 	outdatedPeer rattanwood.VMID
+	// uninformedPeers started after the source's last return like this balancer; informedPeer is set if any
+	// other was heard from.
+	uninformedPeers map[rattanwood.VMID]bool
+	informedPeer    bool
 }
 
 // New returns a Copier that keeps cfg.Replica current.
-func New(cfg Config) *Copier { return &Copier{cfg: cfg} }
+func New(cfg Config) *Copier {
+	return &Copier{cfg: cfg, uninformedPeers: map[rattanwood.VMID]bool{}}
+}
 
 // Update holds the changes that a read, a reply or a heartbeat brought into effect, and whether it
 // confirmed the replica.
@@ -67,7 +73,8 @@
 	payload.Position, payload.SourceUnreachable = c.cfg.Replica.Position(), c.cfg.Watcher.SourceUnreachable()
 	payload.Age, payload.Confirmed, payload.Reader, payload.ConfirmationSeq = now-confirmation.At, ok, confirmation.Reader, confirmation.Seq
 	payload.Prior, payload.Records = c.cfg.Replica.TakeChanges()
-	payload.Settling = c.cfg.Reconciler.Informed() && c.cfg.Reconciler.Settling(now)
+	payload.Informed = c.cfg.Reconciler.Informed(now)
+	payload.Settling = payload.Informed && c.cfg.Reconciler.Settling(now)
 }
 
 // HandleHeartbeat applies the changes and the confirmation in a heartbeat, and asks its sender for
@@ -75,6 +82,7 @@
 func (c *Copier) HandleHeartbeat(now time.Duration, heartbeat *messenger.Heartbeat) Update {
 	var out Update
 	replica := c.cfg.Replica
+	c.compareKnowledge(now, heartbeat)
 	if heartbeat.Position > replica.Position() && len(heartbeat.Records) > 0 {
 		if changed, ok := replica.Apply(heartbeat.Prior, rattanwood.Changes{Records: heartbeat.Records, Position: heartbeat.Position}); ok {
 			out.Changed = c.cfg.Reconciler.HandleChanges(changed)
@@ -87,7 +95,7 @@
 		c.cfg.Messenger.RequestFetch(now, heartbeat.From, c.FetchAfter())
 	case heartbeat.Position > replica.Position():
 		c.cfg.Messenger.RequestFetch(now, heartbeat.From, c.FetchAfter())
-	case heartbeat.Settling && heartbeat.Position.Era() == replica.Position().Era() && !c.cfg.Reconciler.Informed():
+	case heartbeat.Settling && heartbeat.Position.Era() == replica.Position().Era() && !c.cfg.Reconciler.Informed(now):
 		// The sender knows records that the source lost, and sends them with all others.
 		c.cfg.Messenger.RequestFetch(now, heartbeat.From, 0)
 	case heartbeat.Position == replica.Position() && heartbeat.Confirmed && replica.Complete():
@@ -96,6 +104,30 @@
 	return out
 }
 
+// compareKnowledge records whether a peer knows what the source lost on its last return.
+func (c *Copier) compareKnowledge(now time.Duration, heartbeat *messenger.Heartbeat) {
+	era := c.cfg.Replica.Position().Era()
+	switch {
+	case !c.cfg.Replica.Complete() || c.cfg.Reconciler.Informed(now) || heartbeat.Position == 0:
+	case heartbeat.Position.Era() == era && !heartbeat.Informed:
+		c.uninformedPeers[heartbeat.From] = true
+	case heartbeat.Position.Era() == era && !heartbeat.Settling:
+		c.cfg.Reconciler.SetInformed()
+	default:
+		c.informedPeer = true
+	}
+}
+
+// minUninformedPeers is the number of peers that know no more than this balancer of what the source may have
+// lost, after which it takes the whole fleet to have started anew.
+const minUninformedPeers = 2
+
+// MayTrust reports whether the replica may be used for new flows: this balancer knows what the source may have
+// lost, or has heard from peers but from none that does.
+func (c *Copier) MayTrust(now time.Duration) bool {
+	return c.cfg.Reconciler.Informed(now) || !c.informedPeer && len(c.uninformedPeers) >= minUninformedPeers
+}
+
 // Reply is what a balancer answers to one whose replica is behind.
 type Reply struct {
 	Position rattanwood.Position
@@ -126,7 +158,7 @@
 	confirmation, confirmed := c.cfg.Watcher.ConfirmationToSpread()
 	held, settling := c.cfg.Reconciler.Held(now)
 	return Reply{
-		Held: held, Settling: settling, Informed: c.cfg.Reconciler.Informed(),
+		Held: held, Settling: settling, Informed: c.cfg.Reconciler.Informed(now),
 		Position: c.cfg.Replica.Position(), Whole: whole || after == 0, Records: records,
 		Age: now - confirmation.At, Confirmed: confirmed, Reader: confirmation.Reader, Seq: confirmation.Seq,
 	}, true
@@ -170,10 +202,6 @@
 	return c.cfg.Reconciler.HandleChanges(replica.ReplaceAll(records, at))
 }
 
-// Informed reports whether this balancer knows what the source may have lost on its last return, or that it
-// never returned.
-func (c *Copier) Informed() bool { return c.cfg.Reconciler.Informed() }
-
 // Settling reports whether records that the source lost on its last return may still be in effect.
 func (c *Copier) Settling(now time.Duration) bool { return c.cfg.Reconciler.Settling(now) }
 
--- a/copier/copier_test.go
+++ b/copier/copier_test.go
@@ -1,6 +1,7 @@
 package copier_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -163,7 +164,7 @@
 	msgr.Members.Add("vm-2", netip.MustParseAddrPort("10.0.0.2:1"), "east")
 	fresh := copier.New(copier.Config{Replica: replica, Reconciler: newReconciler(), Watcher: watcher.New(watcher.Config{Self: 3}), Messenger: msgr})
 	fresh.HandleListing(now, now, listing, in(3))
-	c.Assert(fresh.Informed(), qt.IsFalse)
+	c.Assert(fresh.MayTrust(now), qt.IsFalse)
 	c.Assert(fresh.Settling(now), qt.IsTrue)
 	fresh.HandleHeartbeat(now, &messenger.Heartbeat{From: "vm-2", HeartbeatPayload: payload})
 	actions := msgr.TakeActions()
@@ -171,7 +172,7 @@
 	reply, _ := peer.Reply(now, actions[0].(messenger.Fetch).After)
 	update := fresh.HandleReply(now, now, actions[0].(messenger.Fetch).After, reply)
 	c.Assert(update.Changed, qt.DeepEquals, []rattanwood.Record{{Key: "k", Value: []byte("5"), Position: 5}})
-	c.Assert(fresh.Informed(), qt.IsTrue)
+	c.Assert(fresh.MayTrust(now), qt.IsTrue)
 }
 
 // TestStartBesideOutdatedPeer has a balancer without records hear first of a peer that was cut off from the
@@ -191,3 +192,33 @@
 	fresh.HandleFailure(now)
 	c.Assert(msgr.TakeActions(), qt.HasLen, 1)
 }
+
+// TestFleetStartsAfterReturn has balancers start when the source came back from a copy long ago, or when
+// the whole fleet started anew. They must not wait for a peer that knows more.
+func TestFleetStartsAfterReturn(t *testing.T) {
+	tests := map[string]struct {
+		heard []messenger.HeartbeatPayload
+		trust bool
+	}{
+		"nobody heard":                        {nil, false},
+		"one started as well":                 {[]messenger.HeartbeatPayload{{Position: in(3)}}, false},
+		"two started as well":                 {[]messenger.HeartbeatPayload{{Position: in(3)}, {Position: in(3)}}, true},
+		"one knows, two started":              {[]messenger.HeartbeatPayload{{Position: in(3), Informed: true, Settling: true}, {Position: in(3)}, {Position: in(3)}}, false},
+		"one has not heard of the return yet": {[]messenger.HeartbeatPayload{{Position: 9, Informed: true}, {Position: in(3)}, {Position: in(3)}}, false},
+		"the return was long ago":             {[]messenger.HeartbeatPayload{{Position: in(3), Informed: true}}, true},
+		"two without records":                 {[]messenger.HeartbeatPayload{{}, {}}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			_, _, msgr := newCopier()
+			fresh := copier.New(copier.Config{Replica: replicator.New(), Reconciler: newReconciler(), Watcher: watcher.New(watcher.Config{Self: 3}), Messenger: msgr})
+			fresh.HandleListing(now, now, nil, in(3))
+			for i, payload := range test.heard {
+				fresh.HandleHeartbeat(now, &messenger.Heartbeat{From: rattanwood.VMID(fmt.Sprint(i)), HeartbeatPayload: payload})
+			}
+			c.Assert(fresh.MayTrust(now), qt.Equals, test.trust)
+			c.Assert(fresh.MayTrust(now+settleTime), qt.IsTrue)
+		})
+	}
+}
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -233,8 +233,12 @@
 	n.becomeReady(now, from)
 }
 
+// maxTrustDelay bounds the wait for a peer that knows what the source lost on its last return. Heartbeats and a
+// fetch take a tenth of it, also beside load.
+const maxTrustDelay = time.Second
+
 // becomeReady makes this balancer ready if the records are complete. While the source may have come back from
-// an older copy, it waits a moment for a peer that knows what the source lost. The calling code must hold mu.
+// an older copy, it waits for a peer that knows what the source lost. The calling code must hold mu.
 func (n *Node) becomeReady(now time.Duration, from string) {
 	if !n.replica.Complete() || n.ready || n.tagger.Version() == 0 {
 		return
@@ -242,7 +246,7 @@
 	if n.copyListedAt == 0 {
 		n.copyListedAt = now
 	}
-	if n.copier.Informed() || now-n.copyListedAt >= maxHoldTime {
+	if n.copier.MayTrust(now) || now-n.copyListedAt >= maxTrustDelay {
 		n.ready = true
 		n.removeOutdatedUpstreams(now)
 		close(n.becameReady)
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -90,6 +90,8 @@
 	Dead []rattanwood.UpstreamID
 	// Settling is set while the sender keeps records in effect that the source lost on its return.
 	Settling bool
+	// Informed is set if the sender knows what the source lost on its last return, or that it lost nothing.
+	Informed bool
 	// Records are all records that changed after the position Prior.
 	Prior   rattanwood.Position
 	Records []rattanwood.Record
@@ -173,7 +175,7 @@
 		// its PlatformUnreachable says here that the source is unreachable.
 		heartbeat := m.Members.BuildHeartbeat(now, to, detector.HeartbeatPayload{Version: rattanwood.Version(p.Position), Leaving: p.Leaving, PlatformUnreachable: p.SourceUnreachable})
 		heartbeat.Confirmed, heartbeat.Reader, heartbeat.Confirmation = shared.Confirmed, shared.Reader, shared.Confirmation
-		heartbeat.Settling = shared.Settling
+		heartbeat.Settling, heartbeat.Informed = shared.Settling, shared.Informed
 		// Receivers that have announced this revision already hold the records.
 		if to.Version < rattanwood.Version(p.Position) {
 			heartbeat.Prior, heartbeat.Records = shared.Prior, shared.Records
@@ -189,7 +191,7 @@
 
 // encodePayload builds the part of a heartbeat that is the same for all receivers.
 func (m *Messenger) encodePayload(now time.Duration, p HeartbeatPayload) *wire.Beat {
-	heartbeat := &wire.Beat{Confirmed: EncodeAge(p.Age, p.Confirmed), Reader: uint64(p.Reader), Confirmation: p.ConfirmationSeq, Settling: p.Settling}
+	heartbeat := &wire.Beat{Confirmed: EncodeAge(p.Age, p.Confirmed), Reader: uint64(p.Reader), Confirmation: p.ConfirmationSeq, Settling: p.Settling, Informed: p.Informed}
 	if records := m.Packer.Encode(p.Records); sizeOf(records) <= maxPushedBytes {
 		heartbeat.Prior, heartbeat.Records = uint64(p.Prior), records
 	}
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -58,7 +58,7 @@
 	// Records that can't be decoded are fetched, like those that are missing.
 	heartbeat.Records, heartbeat.RecordsError = Decode(message.GetRecords())
 	heartbeat.Position, heartbeat.Leaving, heartbeat.SourceUnreachable = rattanwood.Position(message.GetVersion()), message.GetLeaving(), message.GetBlind()
-	heartbeat.Settling = message.GetSettling()
+	heartbeat.Settling, heartbeat.Informed = message.GetSettling(), message.GetInformed()
 	heartbeat.Age, heartbeat.Confirmed = DecodeAge(message.GetConfirmed())
 	heartbeat.Reader, heartbeat.ConfirmationSeq = watcher.ReaderID(message.GetReader()), message.GetConfirmation()
 	for _, l := range message.GetLoads() {
--- a/reconciler/reconciler.go
+++ b/reconciler/reconciler.go
@@ -109,8 +109,14 @@
 // Settling reports whether earlier records may still be in effect.
 func (r *Reconciler) Settling(now time.Duration) bool { return now < r.settled }
 
-// Informed reports whether this balancer knows what was in effect before the present era.
-func (r *Reconciler) Informed() bool { return r.informed || r.era == 0 }
+// Informed reports whether this balancer knows what was in effect before the present era, or that the era
+// began long ago.
+func (r *Reconciler) Informed(now time.Duration) bool {
+	return r.informed || r.era == 0 || !r.Settling(now)
+}
+
+// SetInformed records that a peer which knows the earlier records holds none of them.
+func (r *Reconciler) SetInformed() { r.informed, r.settled = true, 0 }
 
 // Adopt merges the records that a peer holds for a remaining time, and returns those that come into effect
 // here. Find returns the present record of a key.
--- a/reconciler/reconciler_test.go
+++ b/reconciler/reconciler_test.go
@@ -114,10 +114,10 @@
 	c := qt.New(t)
 	r := reconciler.New(reconciler.Config{SettleTime: settleTime, Supersedes: supersedes})
 	r.Begin(now, 1)
-	c.Assert(r.Informed(), qt.IsFalse)
+	c.Assert(r.Informed(now), qt.IsFalse)
 	one := put("1")
 	c.Assert(r.Adopt(now, 2*time.Second, records{deleted}, find(&one)), qt.DeepEquals, records{deleted})
-	c.Assert(r.Informed(), qt.IsTrue)
+	c.Assert(r.Informed(now), qt.IsTrue)
 	c.Assert(r.Expire(now+settleTime, find(&one)), qt.DeepEquals, records{one})
 
 	r = reconciler.New(reconciler.Config{SettleTime: settleTime, Supersedes: supersedes})
@@ -127,6 +127,6 @@
 
 	r = reconciler.New(reconciler.Config{SettleTime: settleTime, Supersedes: supersedes})
 	r.Begin(now, 0)
-	c.Assert(r.Informed(), qt.IsTrue)
+	c.Assert(r.Informed(now), qt.IsTrue)
 	c.Assert(r.Settling(now), qt.IsFalse)
 }
