--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,6 +95,8 @@
 	// earlyUpstreams holds the upstreams that applyEarly applied, by key with their positions. It is nil once
 	// ready is set.
 	earlyUpstreams map[string]rattanwood.Position
+	// forwarded holds the reasons for which this balancer has forwarded a packet since its start.
+	forwarded map[tagger.Reason]bool
 	// heldPackets are the first packets of flows that arrived before ready was set.
 	heldPackets []heldPacket
 	counters    counters
@@ -118,6 +120,7 @@
 		replica:           replicator.New(),
 		rejected:          map[string]uint64{},
 		timings:           newTimings(),
+		forwarded:         map[tagger.Reason]bool{},
 		startedForwarding: make(chan struct{}),
 		becameReady:       make(chan struct{}),
 		earlyUpstreams:    map[string]rattanwood.Position{},
--- a/internal/node/packets.go
+++ b/internal/node/packets.go
@@ -73,7 +73,12 @@
 	v := n.tagger.Packet(now, s, datagram)
 	age, _ := n.watcher.Age(now)
 	position := n.replica.Position()
+	first := v.Action == tagger.Forward && !n.forwarded[v.Reason]
+	n.forwarded[v.Reason] = n.forwarded[v.Reason] || first
 	n.mu.Unlock()
+	if first {
+		n.log.Info("first packet forwarded", zap.Stringer(logger.KeyReason, v.Reason), zap.Int64("after", now.Milliseconds()))
+	}
 	if v.Action != tagger.Forward || v.Reason != tagger.Tagged {
 		n.logVerdict(s, v, age, position)
 	}
--- a/standins/cmd/standin/main.go
+++ b/standins/cmd/standin/main.go
@@ -13,6 +13,7 @@
 
 	"example.org/rattanwood/standins/caller"
 	"example.org/rattanwood/standins/fabric"
+	"example.org/rattanwood/standins/historian"
 	"example.org/rattanwood/standins/platform"
 	"example.org/rattanwood/standins/runner"
 	"example.org/rattanwood/standins/soaker"
@@ -21,13 +22,14 @@
 
 // commands defines the command line; the field names are the names of the commands.
 type commands struct {
-	Platform platform.Config `cmd:"" help:"Run a simulated configuration service."`
-	Fabric   fabric.Config   `cmd:"" help:"Forward each packet to a random balancer."`
-	Upstream upstream.Config `cmd:"" help:"Run a simulated upstream."`
-	Caller   caller.Config   `cmd:"" help:"Open flows, send requests and report the outcomes."`
-	Demo     runner.Config   `cmd:"" help:"Run balancers and all stand-ins, inject faults and report."`
-	Soak     soaker.Soak     `cmd:"" help:"Run balancers that use tags, inject random faults and check the guarantees."`
-	Load     soaker.Load     `cmd:"" help:"Put load on balancers that use tags, inject the given faults and print the outcomes of each second."`
+	Platform platform.Config  `cmd:"" help:"Run a simulated configuration service."`
+	Fabric   fabric.Config    `cmd:"" help:"Forward each packet to a random balancer."`
+	Upstream upstream.Config  `cmd:"" help:"Run a simulated upstream."`
+	Caller   caller.Config    `cmd:"" help:"Open flows, send requests and report the outcomes."`
+	Demo     runner.Config    `cmd:"" help:"Run balancers and all stand-ins, inject faults and report."`
+	Soak     soaker.Soak      `cmd:"" help:"Run balancers that use tags, inject random faults and check the guarantees."`
+	Return   historian.Return `cmd:"" help:"Print from the logs of balancers how a fleet returned after all of it had stopped."`
+	Load     soaker.Load      `cmd:"" help:"Put load on balancers that use tags, inject the given faults and print the outcomes of each second."`
 }
 
 func main() {
