Compress records together, and report loads to other data centres less often

Each registration that changes went through the fleet as 300 bytes of JSON, several times; loads of 48 upstreams went to all neighbours each second, although few flows leave a data centre.

Change: records of over 512 B are sent as one compressed bundle, in heartbeats and in replies to balancers that understand it; loads go to other data centres every third round, failing upstreams as before.

TestReportsExpire now has reports of its own data centre and of another one, which last longer.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -132,7 +132,7 @@
 	requested := n.now()
 	var reply *wire.SyncReply
 	err := n.peers.Call(ctx, a.Address, func(ctx context.Context, conn drpc.Conn) (err error) {
-		reply, err = wire.NewDRPCCopyClient(conn).Sync(ctx, &wire.SyncRequest{After: uint64(a.After)})
+		reply, err = wire.NewDRPCCopyClient(conn).Sync(ctx, &wire.SyncRequest{After: uint64(a.After), Packs: true})
 		return err
 	})
 	n.mu.Lock()
@@ -143,7 +143,7 @@
 		return
 	}
 	now := n.now()
-	records, err := messenger.Decode(reply.GetRecords())
+	records, err := messenger.DecodeBundle(reply.GetRecords(), reply.GetPacked())
 	if err != nil {
 		n.rejected["peer_record"]++
 		n.log.Warn("records from another balancer could not be decoded", zap.String(logger.KeyPeer, string(a.VM)), zap.String(logger.KeyError, err.Error()))
@@ -196,9 +196,15 @@
 		// This balancer may hold some records already, but not all.
 		return nil, oops.Code("not_whole").Errorf("no records yet")
 	}
+	var records []*wire.Record
+	var packed []byte
+	if r.GetPacks() {
+		records, packed = n.messenger.Packer.EncodeBundle(reply.Records)
+	} else {
+		records = n.messenger.Packer.Encode(reply.Records)
+	}
 	return &wire.SyncReply{
-		Revision: uint64(reply.Position), Whole: reply.Whole,
-		Records: n.messenger.Packer.Encode(reply.Records), Confirmed: messenger.EncodeAge(reply.Age, reply.Confirmed),
+		Revision: uint64(reply.Position), Whole: reply.Whole, Records: records, Packed: packed, Confirmed: messenger.EncodeAge(reply.Age, reply.Confirmed),
 		Reader: uint64(reply.Reader), Confirmation: reply.Seq,
 		Held: n.messenger.Packer.Encode(reply.Held), Settling: uint64(reply.Settling / time.Millisecond), Informed: reply.Informed,
 	}, nil
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -41,6 +41,9 @@
 	// joins or is lost, an upstream may be checked by two balancers or by none. It is a third of the
 	// prober's RecheckPeriod, and ranking all upstreams once in that time costs next to nothing.
 	assignmentTTL = time.Second
+	// remoteLoadRounds is the number of regular rounds of heartbeats of which one carries loads to
+	// other data centres.
+	remoteLoadRounds = 3
 	// minNewFailures is the rise of an upstream's failures that is reported even in a heartbeat
 	// between two regular rounds. A single failure exceeds it.
 	minNewFailures = 0.5
@@ -133,7 +136,9 @@
 	lastNamesSpread time.Duration
 	// lastFull is when heartbeats last carried the whole payload; those between two regular rounds
 	// carry only what changed.
-	lastFull              time.Duration
+	lastFull time.Duration
+	// fullRounds counts them.
+	fullRounds            int
 	sentFailing, sentDead []rattanwood.UpstreamID
 	fetchStarted          time.Duration
 	// sentFailures are the failures of each upstream that were reported since lastFull.
@@ -183,12 +188,17 @@
 		heartbeat.Settling, heartbeat.Informed = shared.Settling, shared.Informed
 		// Receivers that have announced this revision already hold the records.
 		if to.Version < rattanwood.Version(p.Position) {
-			heartbeat.Prior, heartbeat.Records = shared.Prior, shared.Records
+			heartbeat.Prior, heartbeat.Records, heartbeat.Packed = shared.Prior, shared.Records, shared.Packed
 		}
 		heartbeat.Failing, heartbeat.Dead = shared.Failing, shared.Dead
 		// Heartbeats to members that aren't neighbours (courtesy) carry no loads, to save bandwidth.
-		if !heartbeat.GetCourtesy() {
+		// Those in other data centres need them less often, since few flows leave a data centre.
+		switch {
+		case heartbeat.GetCourtesy():
+		case to.DataCentre == m.cfg.Detector.DataCentre || m.fullRounds%remoteLoadRounds == 0:
 			heartbeat.Loads = shared.Loads
+		default:
+			heartbeat.Loads = withFailures(shared.Loads)
 		}
 		m.send(now, to, &wire.Envelope{Body: &wire.Envelope_Beat{Beat: heartbeat}})
 	}
@@ -197,8 +207,8 @@
 // encodePayload builds the part of a heartbeat that is the same for all receivers.
 func (m *Messenger) encodePayload(now time.Duration, p HeartbeatPayload) *wire.Beat {
 	heartbeat := &wire.Beat{Confirmed: EncodeAge(p.Age, p.Confirmed), Reader: uint64(p.Reader), Confirmation: p.ConfirmationSeq, Settling: p.Settling, Informed: p.Informed}
-	if records := m.Packer.Encode(p.Records); sizeOf(records) <= maxPushedBytes {
-		heartbeat.Prior, heartbeat.Records = uint64(p.Prior), records
+	if records, packed := m.Packer.EncodeBundle(p.Records); sizeOf(records)+len(packed) <= maxPushedBytes {
+		heartbeat.Prior, heartbeat.Records, heartbeat.Packed = uint64(p.Prior), records, packed
 	}
 	changed := !slices.Equal(p.Failing, m.sentFailing) || !slices.Equal(p.Dead, m.sentDead)
 	full := now-m.lastFull >= m.cfg.Detector.HeartbeatInterval
@@ -209,6 +219,7 @@
 	loads := m.loadsWithNewFailures(p.Loads)
 	if full {
 		m.lastFull = now
+		m.fullRounds++
 		clear(m.sentFailures)
 		// Loads only help to place flows, so they are left out first when the budget is short.
 		if m.Limiter.Available(now, limiter.State) > 0 {
@@ -237,6 +248,11 @@
 	return heaviestLoads(risen)
 }
 
+// withFailures returns the loads of upstreams that fail requests. These are sent to all data centres.
+func withFailures(loads []*wire.Load) []*wire.Load {
+	return slices.DeleteFunc(slices.Clone(loads), func(l *wire.Load) bool { return l.GetRumour() < minNewFailures*unitsPerRequest })
+}
+
 // heaviestLoads returns at most maxLoads loads, those that matter most when upstreams are chosen.
 func heaviestLoads(loads []LoadReport) []LoadReport {
 	if len(loads) <= maxLoads {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -39,6 +39,8 @@
 	copier     *copier.Copier
 	sent       int
 	bytes      int
+	// remoteBytes are those of bytes that went to other data centres, and received the bytes that arrived.
+	remoteBytes, received int
 }
 
 // fleet simulates nodes in virtual time. Datagrams arrive within a step. Node 0 reads the source.
@@ -117,6 +119,10 @@
 			n.sent++
 			n.bytes += proto.Size(a.Message) + 28
 			to := f.nodeAt(a.Address)
+			if to.dataCentre != n.dataCentre {
+				n.remoteBytes += proto.Size(a.Message) + 28
+			}
+			to.received += proto.Size(a.Message) + 28
 			if f.isCut(n, to) || f.random.Float64() < f.loss {
 				continue
 			}
@@ -149,9 +155,18 @@
 
 // write changes the source and lets node 0 read it.
 func (f *fleet) write(key string) {
-	prior := rattanwood.Position(len(f.log))
-	f.log = append(f.log, rattanwood.Record{Key: key, Value: []byte(key), Position: prior + 1})
-	update, ok := f.nodes[0].copier.HandleChanges(f.now, f.now, prior, rattanwood.Changes{Records: f.log[prior:], Position: prior + 1})
+	f.append(key)
+	f.spread()
+}
+
+func (f *fleet) append(key string) {
+	f.log = append(f.log, rattanwood.Record{Key: key, Value: []byte(key), Position: rattanwood.Position(len(f.log) + 1)})
+}
+
+// spread lets node 0 read the changes of the source.
+func (f *fleet) spread() {
+	prior := f.nodes[0].replica.Position()
+	update, ok := f.nodes[0].copier.HandleChanges(f.now, f.now, prior, rattanwood.Changes{Records: f.log[prior:], Position: rattanwood.Position(len(f.log))})
 	f.c.Assert(ok, qt.IsTrue)
 	f.nodes[0].spreadChanges(update)
 }
@@ -216,6 +231,35 @@
 	}
 }
 
+// TestUnlikeLinksCarryHeartbeats runs 232 nodes with the loads of 58 upstreams each while registrations change
+// 20 times a second. No link of 20 Mbit/s may be taken by a tenth, the budget holds, and a quarter of it between
+// data centres, where bytes are dear.
+func TestUnlikeLinksCarryHeartbeats(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, 232)
+	f.loads = 58
+	f.run(15 * time.Second)
+	for _, n := range f.nodes {
+		n.bytes, n.remoteBytes, n.received = 0, 0, 0
+	}
+	const seconds = 9
+	for i := range 2 * seconds {
+		for j := range 10 {
+			f.append(fmt.Sprintf("%0300d", 10*i+j))
+		}
+		f.spread()
+		f.run(500 * time.Millisecond)
+	}
+	most, mostRemote := 0, 0
+	for _, n := range f.nodes {
+		most, mostRemote = max(most, n.bytes/seconds, n.received/seconds), max(mostRemote, n.remoteBytes/seconds)
+	}
+	t.Logf("at most %d B/s on a link, %d B/s to other data centres", most, mostRemote)
+	c.Assert(most < 20_000_000/8/10, qt.IsTrue)
+	c.Assert(most < 27<<10, qt.IsTrue)
+	c.Assert(mostRemote < 27<<10/4, qt.IsTrue)
+}
+
 // TestNodesCatchUpAfterPartition cuts a data centre off from the reader. Its nodes fall behind and must
 // catch up once the partition is over.
 func TestNodesCatchUpAfterPartition(t *testing.T) {
--- a/messenger/packer.go
+++ b/messenger/packer.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
 
 	"example.org/rattanwood"
 	"example.org/rattanwood/wire"
@@ -52,6 +55,12 @@
 	if cached := p.cache[r.Key]; cached.position == r.Position {
 		return cached.data
 	}
+	data := p.deflate(r.Value)
+	p.cache[r.Key] = cachedValue{position: r.Position, data: data}
+	return data
+}
+
+func (p *Packer) deflate(data []byte) []byte {
 	var buf bytes.Buffer
 	// Neither the level nor a write to memory can fail.
 	if p.writer == nil {
@@ -59,9 +68,8 @@
 	} else {
 		p.writer.Reset(&buf)
 	}
-	_, _ = p.writer.Write(r.Value)
+	_, _ = p.writer.Write(data)
 	_ = p.writer.Close()
-	p.cache[r.Key] = cachedValue{position: r.Position, data: buf.Bytes()}
 	return buf.Bytes()
 }
 
@@ -74,10 +82,7 @@
 		if len(r.GetPacked()) == 0 {
 			continue
 		}
-		value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(r.GetPacked())), maxValueSize+1))
-		if err == nil && len(value) > maxValueSize {
-			err = io.ErrShortBuffer
-		}
+		value, err := inflate(r.GetPacked(), maxValueSize)
 		if err != nil {
 			return nil, &rattanwood.RecordError{Key: r.GetKey(), Reason: "packed", Cause: err}
 		}
@@ -86,6 +91,59 @@
 	return out, nil
 }
 
+// minBundleSize is the size in bytes of records from which they are compressed together.
+const minBundleSize = 512
+
+// maxBundleSize bounds the decompressed size of a bundle in bytes: all registrations of the largest fleet.
+const maxBundleSize = 32 << 20
+
+// EncodeBundle is like Encode, but compresses small records together: registrations are much alike, and
+// shrink to a sixth.
+func (p *Packer) EncodeBundle(records []rattanwood.Record) (single []*wire.Record, packed []byte) {
+	bundle := &wire.Bundle{}
+	for _, r := range p.Encode(records) {
+		if len(r.Packed) > 0 {
+			single = append(single, r)
+		} else {
+			bundle.Records = append(bundle.Records, r)
+		}
+	}
+	if sizeOf(bundle.Records) < minBundleSize {
+		return append(single, bundle.Records...), nil
+	}
+	// Marshalling fails only for keys that aren't valid UTF-8, which no source returns in JSON.
+	data, err := proto.Marshal(bundle)
+	if err != nil {
+		return append(single, bundle.Records...), nil
+	}
+	return single, p.deflate(data)
+}
+
+// DecodeBundle returns the records that EncodeBundle encoded, or a rattanwood.RecordError.
+func DecodeBundle(single []*wire.Record, packed []byte) ([]rattanwood.Record, error) {
+	if len(packed) == 0 {
+		return Decode(single)
+	}
+	data, err := inflate(packed, maxBundleSize)
+	bundle := &wire.Bundle{}
+	if err == nil {
+		err = proto.Unmarshal(data, bundle)
+	}
+	if err != nil {
+		return nil, &rattanwood.RecordError{Reason: "packed", Cause: err}
+	}
+	return Decode(append(slices.Clone(single), bundle.GetRecords()...))
+}
+
+// inflate decompresses data, to at most limit bytes.
+func inflate(data []byte, limit int64) ([]byte, error) {
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), limit+1))
+	if err == nil && int64(len(out)) > limit {
+		err = io.ErrShortBuffer
+	}
+	return out, err
+}
+
 // sizeOf returns the size in bytes of all keys and values.
 func sizeOf(records []*wire.Record) int {
 	size := 0
--- a/messenger/packer_test.go
+++ b/messenger/packer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"runtime"
 	"testing"
 
@@ -35,6 +36,32 @@
 	c.Assert(decoded, qt.DeepEquals, records, qt.Commentf("a newer revision must not come from the cache"))
 }
 
+// TestRegistrationsShrink has many registrations change at once, as in a release on a fleet of 3,000 upstreams.
+// Sent one by one they took most of a node's traffic.
+func TestRegistrationsShrink(t *testing.T) {
+	c := qt.New(t)
+	var records []rattanwood.Record
+	size := 0
+	for i := range 200 {
+		value := fmt.Sprintf(`{"service":"caster","address":"10.1.%d.%d:8001","zone":"a","version":"v1","slots":3,"state":"ready","warmup_remaining_ms":%d,"sequence":%d,"born":17700558%05d}`, i/100, i%100, 7*i, i, 31*i)
+		records = append(records, rattanwood.Record{Key: fmt.Sprintf("servers/i-%010x", 0xab00000000+i*0x9e3779b1), Value: []byte(value), Position: rattanwood.Position(i + 1)})
+		size += len(value)
+	}
+	records = append(records, rattanwood.Record{Key: "large", Value: bytes.Repeat([]byte("x"), 4<<10), Position: 900})
+	single, packed := messenger.NewPacker().EncodeBundle(records)
+	c.Assert(len(packed) < size/4, qt.IsTrue, qt.Commentf("%d B of %d", len(packed), size))
+	got, err := messenger.DecodeBundle(single, packed)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.HasLen, len(records))
+	c.Assert(got[1:], qt.DeepEquals, records[:200])
+	single, packed = messenger.NewPacker().EncodeBundle(records[:2])
+	c.Assert(single, qt.HasLen, 2)
+	c.Assert(packed, qt.HasLen, 0)
+	_, err = messenger.DecodeBundle(nil, []byte("plain text"))
+	var bad *rattanwood.RecordError
+	c.Assert(errors.As(err, &bad), qt.IsTrue)
+}
+
 func TestMalformedRecordsAreRejected(t *testing.T) {
 	bomb := messenger.NewPacker().Encode([]rattanwood.Record{{Key: "bomb", Value: make([]byte, 2<<20), Position: 1}})
 	tests := map[string]*wire.Record{
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -61,7 +61,7 @@
 	heartbeat := Heartbeat{From: sender.VM, DataCentre: sender.DataCentre}
 	heartbeat.Prior = rattanwood.Position(message.GetPrior())
 	// Records that can't be decoded are fetched, like those that are missing.
-	heartbeat.Records, heartbeat.RecordsError = Decode(message.GetRecords())
+	heartbeat.Records, heartbeat.RecordsError = DecodeBundle(message.GetRecords(), message.GetPacked())
 	heartbeat.Position, heartbeat.Leaving, heartbeat.SourceUnreachable = rattanwood.Position(message.GetVersion()), message.GetLeaving(), message.GetBlind()
 	heartbeat.Settling, heartbeat.Informed = message.GetSettling(), message.GetInformed()
 	heartbeat.Age, heartbeat.Confirmed = DecodeAge(message.GetConfirmed())
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -32,9 +32,10 @@
 	// FailureLoad is the least number of requests that a failed one counts for; it counts for the
 	// mean load of the service's upstreams if that is more.
 	FailureLoad float64
-	// ReportTTL is the age after which a peer's report no longer counts.
-	ReportTTL time.Duration
-	Random    *rand.Rand
+	// ReportTTL is the age after which a peer's report no longer counts, and RemoteReportTTL the same for
+	// a peer in another data centre.
+	ReportTTL, RemoteReportTTL time.Duration
+	Random                     *rand.Rand
 }
 
 // DefaultConfig returns the settings that the daemon uses.
@@ -52,7 +53,9 @@
 		FailureLoad: 20,
 		// Three reports, sent once a second, may be lost.
 		ReportTTL: 4 * time.Second,
-		Random:    random,
+		// Three reports, sent every third round, may be lost.
+		RemoteReportTTL: 12 * time.Second,
+		Random:          random,
 	}
 }
 
@@ -215,7 +218,11 @@
 	// The empty VMID stands for this balancer, whose own load is always known.
 	reporters := map[rattanwood.DataCentre]map[rattanwood.VMID]bool{p.cfg.DataCentre: {"": true}}
 	for key, r := range p.reports {
-		if now-r.at > p.cfg.ReportTTL {
+		ttl := p.cfg.ReportTTL
+		if r.dataCentre != p.cfg.DataCentre {
+			ttl = p.cfg.RemoteReportTTL
+		}
+		if now-r.at > ttl {
 			delete(p.reports, key)
 			continue
 		}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -328,12 +328,18 @@
 
 func TestReportsExpire(t *testing.T) {
 	c := qt.New(t)
-	p := placer.New(placer.DefaultConfig(rand.New(rand.NewPCG(1, 1))))
+	cfg := placer.DefaultConfig(rand.New(rand.NewPCG(1, 1)))
+	cfg.DataCentre = "dc"
+	p := placer.New(cfg)
+	p.MergeReport(2*time.Second, "c", "far", 2, placer.Load{Requests: 5})
 	p.MergeReport(time.Second, "a", "dc", 1, placer.Load{Requests: 10, Failures: 2})
 	p.MergeReport(2*time.Second, "a", "dc", 1, placer.Load{Requests: 4})
 	p.MergeReport(2*time.Second, "b", "dc", 1, placer.Load{Requests: 3, Failures: 1})
 	c.Assert(p.Load(2*time.Second, 1), qt.Equals, placer.Load{Requests: 7, Failures: 1})
 	p.Tick(7*time.Second, nil)
 	c.Assert(p.Load(7*time.Second, 1), qt.Equals, placer.Load{})
+	c.Assert(p.Load(7*time.Second, 2), qt.Equals, placer.Load{Requests: 5}, qt.Commentf("other data centres report every third round"))
+	p.Tick(15*time.Second, nil)
+	c.Assert(p.Load(15*time.Second, 2), qt.Equals, placer.Load{})
 	c.Assert(p.Pick(0, nil), qt.Equals, -1)
 }
