--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,7 +127,9 @@
 	}
 	random := rand.New(rand.NewPCG(uint64(cfg.Incarnation), 0))
 	set := cfg.Settings
-	n.messenger = messenger.New(messengerConfig(cfg))
+	messengerCfg := messengerConfig(cfg)
+	messengerCfg.Position = n.replica.Position
+	n.messenger = messenger.New(messengerCfg)
 	for _, address := range set.SeedAddresses() {
 		if address != set.PeerAddress() {
 			n.messenger.Members.Add(seedName(address), address, "")
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -55,6 +55,9 @@
 type Config struct {
 	Detector detector.Config
 	Limiter  limiter.Config
+	// Position returns that of this balancer's replica. Records in heartbeats that aren't newer are left
+	// undecoded: each change arrives from several neighbours.
+	Position func() rattanwood.Position
 }
 
 // Send is the action to send a datagram to a balancer.
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"testing"
 	"time"
 
@@ -45,19 +44,20 @@
 
 // fleet simulates nodes in virtual time. Datagrams arrive within a step. Node 0 reads the source.
 type fleet struct {
-	c      *qt.C
-	nodes  []*node
-	now    time.Duration
-	isCut  func(from, to *node) bool
-	random *rand.Rand
-	loss   float64
-	log    []rattanwood.Record
+	c         *qt.C
+	nodes     []*node
+	byAddress map[netip.AddrPort]*node
+	now       time.Duration
+	isCut     func(from, to *node) bool
+	random    *rand.Rand
+	loss      float64
+	log       []rattanwood.Record
 	// loads is the number of upstreams that each node reports a load for.
 	loads int
 }
 
 func newFleet(c *qt.C, n int) *fleet {
-	f := &fleet{c: c, isCut: func(*node, *node) bool { return false }, random: rand.New(rand.NewPCG(3, 4))}
+	f := &fleet{c: c, byAddress: map[netip.AddrPort]*node{}, isCut: func(*node, *node) bool { return false }, random: rand.New(rand.NewPCG(3, 4))}
 	for i := range n {
 		f.add(i)
 	}
@@ -75,7 +75,8 @@
 			Self: n.name, Address: n.address, DataCentre: rattanwood.DataCentre(fmt.Sprint("dc", centre)), Incarnation: 1, Seed: uint64(i),
 			HeartbeatInterval: time.Second, SuspectAfter: 2500 * time.Millisecond, DeadAfter: 5 * time.Second, ActivationDelay: 3 * time.Second, PauseThreshold: time.Second, Sparse: true,
 		},
-		Limiter: limiter.Config{Rate: 27 << 10, Burst: 256 << 10},
+		Limiter:  limiter.Config{Rate: 27 << 10, Burst: 256 << 10},
+		Position: n.replica.Position,
 	})
 	n.watcher = watcher.New(watcher.Config{Self: watcher.ReaderID(1000 - i), Random: f.random})
 	for seed := range min(3, len(f.nodes)) {
@@ -84,13 +85,11 @@
 	n.copier = copier.New(copier.Config{Replica: n.replica, Reconciler: reconciler.New(reconciler.Config{}), Watcher: n.watcher, Messenger: n.messenger, SpreadInterval: step})
 	n.replica.ReplaceAll(nil, 0)
 	f.nodes = append(f.nodes, n)
+	f.byAddress[n.address] = n
 	return n
 }
 
-func (f *fleet) nodeAt(address netip.AddrPort) *node {
-	i := slices.IndexFunc(f.nodes, func(n *node) bool { return n.address == address })
-	return f.nodes[i]
-}
+func (f *fleet) nodeAt(address netip.AddrPort) *node { return f.byAddress[address] }
 
 func (f *fleet) payload(n *node) messenger.HeartbeatPayload {
 	var p messenger.HeartbeatPayload
@@ -117,12 +116,13 @@
 		switch a := a.(type) {
 		case messenger.Send:
 			n.sent++
-			n.bytes += proto.Size(a.Message) + 28
+			size := proto.Size(a.Message) + 28
+			n.bytes += size
 			to := f.nodeAt(a.Address)
 			if to.dataCentre != n.dataCentre {
-				n.remoteBytes += proto.Size(a.Message) + 28
+				n.remoteBytes += size
 			}
-			to.received += proto.Size(a.Message) + 28
+			to.received += size
 			if f.isCut(n, to) || f.random.Float64() < f.loss {
 				continue
 			}
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -60,8 +60,10 @@
 	}
 	heartbeat := Heartbeat{From: sender.VM, DataCentre: sender.DataCentre}
 	heartbeat.Prior = rattanwood.Position(message.GetPrior())
-	// Records that can't be decoded are fetched, like those that are missing.
-	heartbeat.Records, heartbeat.RecordsError = DecodeBundle(message.GetRecords(), message.GetPacked())
+	if rattanwood.Position(message.GetVersion()) > m.cfg.Position() {
+		// Records that can't be decoded are fetched, like those that are missing.
+		heartbeat.Records, heartbeat.RecordsError = DecodeBundle(message.GetRecords(), message.GetPacked())
+	}
 	heartbeat.Position, heartbeat.Leaving, heartbeat.SourceUnreachable = rattanwood.Position(message.GetVersion()), message.GetLeaving(), message.GetBlind()
 	heartbeat.Settling, heartbeat.Informed = message.GetSettling(), message.GetInformed()
 	heartbeat.Age, heartbeat.Confirmed = DecodeAge(message.GetConfirmed())
