--- a/Makefile
+++ b/Makefile
@@ -93,6 +93,15 @@
 load: build
 	$(BIN)/standin load --bin $(BIN)/rattanwood --slot $(NETWORK) $(FLAGS)
 
+# Quick scores of the sites that changes are compared on. BENCH is the users' bench and SITES the folder of its
+# site files.
+REGRESSION := further/slli-rtk.toml further-grown/slli-rtk-grown.toml large/mccpermits-large.toml grown/sorami-lb-grown.toml
+JOBS ?= 2
+WHY ?= regression
+.PHONY: regression
+regression:
+	@for s in $(REGRESSION); do $(BENCH) score $(SITES)/$$s --quick --jobs $(JOBS) --why "$(WHY)" || exit 1; done
+
 # Measures the slopes that docs/CAPACITY.md works with, and the figures of the balance settings.
 .PHONY: slopes figures
 slopes:
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -187,9 +187,11 @@
 // TestChangesReachAllNodes checks that registrations and configurations in quick succession reach all
 // nodes in time, with and without lost datagrams.
 func TestChangesReachAllNodes(t *testing.T) {
+	t.Parallel()
 	for n, within := range map[int]time.Duration{15: 300 * time.Millisecond, 136: 500 * time.Millisecond, 300: 600 * time.Millisecond} {
 		for _, loss := range []float64{0, 0.05} {
 			t.Run(fmt.Sprintf("%d nodes, loss %v", n, loss), func(t *testing.T) {
+				t.Parallel()
 				c := qt.New(t)
 				f := newFleet(c, n)
 				f.run(10 * time.Second)
@@ -212,8 +214,10 @@
 // TestHeartbeatCostHardlyGrowsWithFleet checks that a node's heartbeats stay within a quarter of the
 // budget as the fleet grows.
 func TestHeartbeatCostHardlyGrowsWithFleet(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{15, 30, 100, 300} {
 		t.Run(fmt.Sprint(n, " nodes"), func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			f := newFleet(c, n)
 			f.run(15 * time.Second)
@@ -235,6 +239,7 @@
 // 20 times a second. No link of 20 Mbit/s may be taken by a tenth, the budget holds, and a quarter of it between
 // data centres, where bytes are dear.
 func TestUnlikeLinksCarryHeartbeats(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(c, 232)
 	f.loads = 58
@@ -263,8 +268,10 @@
 // TestNodesCatchUpAfterPartition cuts a data centre off from the reader. Its nodes fall behind and must
 // catch up once the partition is over.
 func TestNodesCatchUpAfterPartition(t *testing.T) {
+	t.Parallel()
 	for name, d := range map[string]time.Duration{"short": 2 * time.Second, "long": 40 * time.Second} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			f := newFleet(c, 30)
 			f.run(10 * time.Second)
@@ -284,9 +291,11 @@
 // bootstrap addresses. If the nodes there are too busy to name the others, every node goes on running
 // all health checks of its data centre.
 func TestStartingFleetDiscoversAllMembers(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{15, 136, 300} {
 		for _, loss := range []float64{0, 0.05} {
 			t.Run(fmt.Sprintf("%d nodes, loss %v", n, loss), func(t *testing.T) {
+				t.Parallel()
 				c := qt.New(t)
 				f := newFleet(c, n)
 				f.loads, f.loss = 150, loss
@@ -305,8 +314,10 @@
 // TestQuietFleetDiscoversAllMembers starts fleets while nothing else changes, so that no news makes nodes
 // send heartbeats early.
 func TestQuietFleetDiscoversAllMembers(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{136, 300} {
 		t.Run(fmt.Sprint(n, " nodes"), func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			f := newFleet(c, n)
 			f.run(5 * time.Second)
@@ -336,6 +347,7 @@
 // TestEachUpstreamHasOneCheckerPerDataCentre checks that in a settled fleet exactly one node of each
 // data centre checks an upstream.
 func TestEachUpstreamHasOneCheckerPerDataCentre(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(c, 45)
 	f.run(15 * time.Second)
@@ -354,6 +366,7 @@
 // TestBusyFleetStaysWithinBudget simulates releases and scale-outs on a large fleet. If the budget shed
 // heartbeats, confirmations would not spread and all nodes would begin to read the source.
 func TestBusyFleetStaysWithinBudget(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		interval time.Duration
 		// maxRate is the limit on a node's traffic in bytes a second. A burst may spend the saved-up
@@ -366,6 +379,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			f := newFleet(c, 136)
 			f.run(15 * time.Second)
