Refuse a form that is too large instead of applying a part of it

Cause: the console read at most 64 KB of a form and applied what it had, so that an edit without its last values looked valid. Found by looking at every limited body read: the document reader, the source and the packer reject what is longer, a cut health state doesn't decode, and a Caller's stand-in reports a broken body. Change: a longer form is answered with 400. TestLargeFormIsRefused: 200 before, 400 now.

--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -137,10 +137,14 @@
 // decodeForm returns the values of a submitted form, without surrounding spaces.
 func decodeForm(body io.ReadCloser, f editor.Form) (editor.Values, error) {
 	defer func() { _ = body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(body, maxFormBytes))
+	data, err := io.ReadAll(io.LimitReader(body, maxFormBytes+1))
 	if err != nil {
 		return nil, goa.DecodePayloadError(err.Error())
 	}
+	if len(data) > maxFormBytes {
+		// A form that is cut off would be applied with part of its values.
+		return nil, goa.DecodePayloadError("form is too large")
+	}
 	query, err := url.ParseQuery(string(data))
 	if err != nil {
 		return nil, goa.DecodePayloadError(err.Error())
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -131,3 +131,19 @@
 	}
 	return fmt.Sprintf("%d %s\n%s", res.StatusCode, res.Header.Get("Content-Type"), body)
 }
+
+// TestLargeFormIsRefused submits a form whose last values lie beyond the largest size. It must not be applied
+// without them.
+func TestLargeFormIsRefused(t *testing.T) {
+	c := qt.New(t)
+	srv := httptest.NewServer(console.New(console.Config{Platform: &platform{}}).Handler())
+	defer srv.Close()
+	for size, status := range map[int]int{100: http.StatusOK, 64 << 10: http.StatusBadRequest} {
+		values := url.Values{"service": {"board"}, "address": {"10.1.0.1:80"}}
+		body := values.Encode() + "&other=" + strings.Repeat("x", size)
+		res, err := http.Post(srv.URL+"/forms/service", "application/x-www-form-urlencoded", strings.NewReader(body))
+		c.Assert(err, qt.IsNil)
+		c.Assert(res.Body.Close(), qt.IsNil)
+		c.Assert(res.StatusCode, qt.Equals, status)
+	}
+}
