--- a/internal/node/packets.go
+++ b/internal/node/packets.go
@@ -74,7 +74,9 @@
 	age, _ := n.watcher.Age(now)
 	position := n.replica.Position()
 	first := v.Action == tagger.Forward && !n.forwarded[v.Reason]
-	n.forwarded[v.Reason] = n.forwarded[v.Reason] || first
+	if first {
+		n.forwarded[v.Reason] = true
+	}
 	n.mu.Unlock()
 	if first {
 		n.log.Info("first packet forwarded", zap.Stringer(logger.KeyReason, v.Reason), zap.Int64("after", now.Milliseconds()))
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -213,15 +213,16 @@
 // assignment returns which health checks of an upstream are this balancer's duty. The calling code must hold mu.
 func (n *Node) assignment(id rattanwood.UpstreamID) prober.Assignment {
 	r, registered, ok := n.tagger.Upstream(id)
+	now, local := n.now(), string(r.DataCentre) == n.cfg.Settings.DataCentre
 	switch {
 	case !ok || !registered:
 		return prober.Unregistered
-	case n.shuttingDown.Load() || !n.messenger.ChecksUpstream(n.now(), id):
-		if string(r.DataCentre) != n.cfg.Settings.DataCentre && !n.tagger.UsedLately(n.now(), id) {
+	case n.shuttingDown.Load() || !n.messenger.ChecksUpstream(now, id):
+		if !local && !n.tagger.UsedLately(now, id) {
 			return prober.Unused
 		}
 		return prober.AssignedElsewhere
-	case string(r.DataCentre) == n.cfg.Settings.DataCentre:
+	case local:
 		return prober.AssignedLocal
 	}
 	return prober.AssignedRemote
