Decode evacuations, classes of routes and limits of services

Cause: the parts for evacuations, cold upstreams, homes and admission need the same records, settings and messages. They are agreed on first, so that the parts can be built side by side. Nothing uses them yet.

--- a/ids.go
+++ b/ids.go
@@ -24,6 +24,9 @@
 // DataCentre is the name of a data centre.
 type DataCentre string
 
+// Region is the name of a group of data centres that are close to each other.
+type Region string
+
 // ServiceID is the name of a service.
 type ServiceID string
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,7 +27,20 @@
 	Listen     Listen   `json:"listen"`
 	Control    Control  `json:"control"`
 	Times      Times    `json:"times"`
-	LogLevel   string   `json:"log"`
+	// Region is that of DataCentre, and Regions that of each data centre. Only routes with homes need them.
+	Region  string            `json:"region"`
+	Regions map[string]string `json:"regions"`
+	Warmup  Warmup            `json:"warmup"`
+	// Admission turns on the refusal of new flows that can't be served in time, with AffinityTag.
+	Admission bool   `json:"admission"`
+	LogLevel  string `json:"log"`
+}
+
+// Warmup sets how many new flows all balancers together may send to a cold upstream within any second: its
+// service's rate times Overage, plus Slack. It applies with AffinityTag to services that state a rate.
+type Warmup struct {
+	Overage float64 `json:"overage"`
+	Slack   float64 `json:"slack"`
 }
 
 // Affinity selects how flows stay on their upstreams.
@@ -95,6 +108,7 @@
 			ShutdownTimeout: 20_000, ProbeInterval: 500, VMListInterval: 5000,
 			ApplyDeadline: 3000, GracePeriodSeconds: 6,
 		},
+		Regions: map[string]string{}, Warmup: Warmup{Overage: 1},
 		LogLevel: "info",
 	}
 }
@@ -164,6 +178,21 @@
 			return fail(field, value, "an IP address and a port")
 		}
 	}
+	for field, limit := range map[string]struct{ value, low, high float64 }{
+		"warmup.overage": {s.Warmup.Overage, 0.1, 100}, "warmup.slack": {s.Warmup.Slack, 0, 10_000},
+	} {
+		if !(limit.value >= limit.low && limit.value <= limit.high) {
+			return fail(field, strconv.FormatFloat(limit.value, 'g', -1, 64), fmt.Sprintf("%g to %g", limit.low, limit.high))
+		}
+	}
+	for centre, region := range s.Regions {
+		if !isName(centre) || !isName(region) {
+			return fail("regions", centre+": "+region, "names of data centres and their regions, each "+nameAllowed)
+		}
+	}
+	if s.Region != "" && !isName(s.Region) {
+		return fail("region", s.Region, nameAllowed)
+	}
 	if s.Times.GracePeriodSeconds < 1 || s.Times.GracePeriodSeconds > 3600 {
 		return fail("times.grace", strconv.FormatFloat(s.Times.GracePeriodSeconds, 'g', -1, 64), "1 to 3600")
 	}
--- a/source.go
+++ b/source.go
@@ -85,6 +85,9 @@
 	// Instance returns the upstream whose registration is stored under a key. ok is false if the key is
 	// not that of an upstream.
 	Instance(key string) (id InstanceID, ok bool)
+	// Evacuated returns the data centre whose Evacuation is stored under a key. ok is false if the key is
+	// not that of an evacuation.
+	Evacuated(key string) (centre DataCentre, ok bool)
 }
 
 // IdentityChecker asks the server at an address which upstream it is.
@@ -94,7 +97,7 @@
 	Identify(ctx context.Context, address netip.AddrPort, path string) (InstanceID, error)
 }
 
-// Entity is the content of a record: a *Routing or a *Registration.
+// Entity is the content of a record: a *Routing, a *Registration or an *Evacuation.
 type Entity interface{ entity() }
 
 // Routing is the routing configuration of all addresses.
@@ -103,6 +106,8 @@
 	Routes  []Route
 	// HealthPaths holds the URL path of each service's HTTP health check.
 	HealthPaths map[ServiceID]string
+	// Services holds what the operators state about the upstreams of each service.
+	Services map[ServiceID]ServiceLimits
 	// InvalidRoutes is the number of routes that were skipped because they are invalid.
 	InvalidRoutes int
 }
@@ -113,6 +118,31 @@
 	Address netip.AddrPort
 	// Shares has at least one element, and all weights are positive.
 	Shares []Share
+	// Class describes the requests that the route's flows carry.
+	Class Class
+	// Homes are the regions whose upstreams and balancers may serve the route; empty means all.
+	Homes []Region
+}
+
+// Class describes a kind of requests as far as it matters for who is served first.
+type Class struct {
+	// Priority is the operators' order of importance; 0 is the most important.
+	Priority int
+	// Repeatable is set if a Caller may send a request again without harm.
+	Repeatable bool
+	// Target is the latency in which a request should be answered, and Timeout the time after which its
+	// answer is useless. Zero means unknown.
+	Target, Timeout time.Duration
+}
+
+// ServiceLimits holds what the operators state about each upstream of a service.
+type ServiceLimits struct {
+	// WarmupTime is how long an upstream is cold after its start.
+	WarmupTime time.Duration
+	// WarmupRate is the number of new flows a second that a cold upstream bears; zero means no limit.
+	WarmupRate float64
+	// MaxFlows is the number of flows that an upstream holds; zero means no limit.
+	MaxFlows int
 }
 
 // Share is a service with its weight in the traffic split of a route.
@@ -137,8 +167,15 @@
 	StartTime int64
 }
 
+// Evacuation asks that no new flows be sent to the upstreams of a data centre. It lasts until its record is
+// deleted.
+type Evacuation struct {
+	DataCentre DataCentre
+}
+
 func (*Routing) entity()      {}
 func (*Registration) entity() {}
+func (*Evacuation) entity()   {}
 
 // InstanceID is the full id of an upstream, which precedes each datagram that is forwarded to it.
 type InstanceID uint64
