Leave out evacuated data centres when flows are placed

Operators can ask that nothing new go to a data centre's upstreams, but balancers ignored the record.

The set of evacuated data centres is kept by package evacuator; tagger asks it wherever it looks for an upstream, so that it also binds the last resorts. A first packet that is repeated leaves an evacuated upstream. Where nothing may serve, the Caller is reset at once, under the rule that a refusal needs current records. Checks of evacuated upstreams end once no flow of the balancer uses them.

Ruled out: sending the first packets of opening flows elsewhere the moment the evacuation is learned of. Their upstream lives and has mostly answered by then; the Caller takes the tag of whoever answered last, so an answer of a second upstream breaks the flow. The Caller's own retransmission after 200 ms shows that there is no answer, and leads elsewhere.

--- a/internal/node/dump.go
+++ b/internal/node/dump.go
@@ -25,6 +25,7 @@
 	SourceUnreachable bool                 `json:"blind"`
 	ShuttingDown      bool                 `json:"leaving"`
 	Members           []MemberState        `json:"members"`
+	Evacuated         []EvacuationState    `json:"evacuated"`
 	Upstreams         []tagger.UpstreamRow `json:"upstreams"`
 	Flows             []tagger.FlowRow     `json:"flows"`
 }
@@ -48,7 +49,7 @@
 	s := &State{
 		VM: n.cfg.Settings.VM, Incarnation: uint64(n.cfg.Incarnation), Era: n.replica.Position().Era(), Revision: n.replica.Position().Revision(), Settling: n.copier.Settling(now), Version: n.tagger.Version(), AgeMillis: -1,
 		ReaderRank: n.messenger.ReaderRank(), IsReader: n.watcher.IsReader(), SourceUnreachable: n.watcher.SourceUnreachable(), ShuttingDown: n.shuttingDown.Load(),
-		Members: []MemberState{}, Upstreams: n.tagger.Upstreams(now), Flows: n.tagger.Flows(maxFlows),
+		Members: []MemberState{}, Evacuated: n.evacuations(now), Upstreams: n.tagger.Upstreams(now), Flows: n.tagger.Flows(maxFlows),
 	}
 	if age, ok := n.watcher.Age(now); ok {
 		s.AgeMillis = age.Milliseconds()
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -132,16 +132,16 @@
 
 // fakeUpstream listens on UDP and TCP at one address, as an upstream for packets and health checks.
 type fakeUpstream struct {
-	key, address string
-	packets      chan []byte
-	tcp          net.Listener
+	key, address, centre string
+	packets              chan []byte
+	tcp                  net.Listener
 }
 
 func newUpstream(c *qt.C, ip string, id int) *fakeUpstream {
 	lis, err := net.Listen("tcp4", ip+":0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = lis.Close() })
-	u := &fakeUpstream{key: fmt.Sprintf("servers/i-%010x", id), address: lis.Addr().String(), packets: make(chan []byte, 100), tcp: lis}
+	u := &fakeUpstream{centre: "east", key: fmt.Sprintf("servers/i-%010x", id), address: lis.Addr().String(), packets: make(chan []byte, 100), tcp: lis}
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(u.address)))
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = conn.Close() })
@@ -163,7 +163,7 @@
 
 func (u *fakeUpstream) registration(state string) string {
 	sequence := map[string]int{"ready": 1, "draining": 2}[state]
-	return fmt.Sprintf(`{"service":"s","address":%q,"zone":"east","version":"v","slots":2,"state":%q,"warmup_remaining_ms":0,"sequence":%d,"born":1}`, u.address, state, sequence)
+	return fmt.Sprintf(`{"service":"s","address":%q,"zone":%q,"version":"v","slots":2,"state":%q,"warmup_remaining_ms":0,"sequence":%d,"born":1}`, u.address, u.centre, state, sequence)
 }
 
 const routingJSON = `{"version":%d,"routes":[{"name":"r","hostname":"198.18.0.1","prefix":"/443/","service":"s"}]}`
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -29,6 +29,7 @@
 	descVersion    = prometheus.NewDesc("rattanwood_document_version", "Version of the routes in force.", nil, nil)
 	descMembers    = prometheus.NewDesc("rattanwood_members", "Other balancers by state.", []string{"state"}, nil)
 	descFailing    = prometheus.NewDesc("rattanwood_upstreams_failing", "Upstreams that fail the checks.", nil, nil)
+	descEvacuated  = prometheus.NewDesc("rattanwood_evacuated", "Data centres whose upstreams get no new flows.", []string{"centre"}, nil)
 	descLogDropped = prometheus.NewDesc("rattanwood_log_lines_dropped_total", "Log lines that found no room.", nil, nil)
 )
 
@@ -99,6 +100,9 @@
 	if age, ok := n.watcher.Age(n.now()); ok {
 		gauge(descAge, age.Seconds())
 	}
+	for _, e := range n.evacuator.Evacuations() {
+		gauge(descEvacuated, 1, string(e.DataCentre))
+	}
 	gauge(descVersion, float64(n.tagger.Version()))
 	failing, _ := n.prober.Failing()
 	gauge(descFailing, float64(len(failing)))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"example.org/rattanwood"
 	"example.org/rattanwood/copier"
 	"example.org/rattanwood/detector"
+	"example.org/rattanwood/evacuator"
 	"example.org/rattanwood/internal/dialer"
 	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
@@ -74,6 +75,7 @@
 	watcher   *watcher.Watcher
 	copier    *copier.Copier
 	tagger    *tagger.Tagger
+	evacuator *evacuator.Evacuator
 	prober    *prober.Prober
 	placer    *placer.Placer
 	// rejected counts invalid input by reason.
@@ -118,6 +120,7 @@
 		started:           time.Now(),
 		peers:             dialer.New(),
 		replica:           replicator.New(),
+		evacuator:         evacuator.New(),
 		rejected:          map[string]uint64{},
 		timings:           newTimings(),
 		forwarded:         map[tagger.Reason]bool{},
@@ -148,7 +151,7 @@
 	n.placer = placer.New(placerConfig)
 	taggerConfig := tagger.DefaultConfig()
 	taggerConfig.DataCentre = rattanwood.DataCentre(set.DataCentre)
-	taggerConfig.Random, taggerConfig.Placer, taggerConfig.Prober = random, n.placer, n.prober
+	taggerConfig.Random, taggerConfig.Placer, taggerConfig.Prober, taggerConfig.Evacuator = random, n.placer, n.prober, n.evacuator
 	n.tagger = tagger.New(taggerConfig)
 	if err := n.listen(); err != nil {
 		n.close()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -217,6 +217,9 @@
 	switch {
 	case !ok || !registered:
 		return prober.Unregistered
+	case n.evacuator.Evacuated(r.DataCentre) && !n.tagger.UsedLately(now, id):
+		// No flow of this balancer depends on the result.
+		return prober.Unused
 	case n.shuttingDown.Load() || !n.messenger.ChecksUpstream(now, id):
 		if !local && !n.tagger.UsedLately(now, id) {
 			return prober.Unused
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -278,6 +278,9 @@
 			n.tagger.RemoveRegistration(now, instance)
 			n.logChange("upstream removed", from, r, zap.Stringer(logger.KeyUpstream, instance.Upstream()))
 		}
+		if centre, ok := n.cfg.Interpreter.Evacuated(r.Key); ok {
+			n.endEvacuation(now, from, r, centre)
+		}
 		return true
 	}
 	entity, err := n.cfg.Interpreter.Interpret(r)
@@ -300,6 +303,8 @@
 		if n.tagger.SetRouting(e) {
 			n.logChange("routing configuration applied", from, r, zap.Uint64(logger.KeyVersion, uint64(e.Version)), zap.Int("routes", len(e.Routes)), zap.Int("invalid", e.InvalidRoutes))
 		}
+	case *rattanwood.Evacuation:
+		n.beginEvacuation(now, from, r, e.DataCentre)
 	case *rattanwood.Registration:
 		switch n.tagger.SetRegistration(now, *e) {
 		case tagger.RegistrationUnchanged:
--- /dev/null
+++ b/tagger/allow.go
@@ -0,0 +1,25 @@
+package tagger
+
+import (
+	"time"
+
+	"example.org/rattanwood"
+)
+
+// allowed reports whether the operators' requests let new flows of a route go to an upstream, whatever its
+// health and load. It binds also where any other upstream would be a last resort.
+func (t *Tagger) allowed(_ time.Duration, _ *rattanwood.Route, u *upstream) bool {
+	return !t.cfg.Evacuator.Evacuated(u.DataCentre)
+}
+
+// refusalReason returns why none of a route's upstreams may take a new flow.
+func (t *Tagger) refusalReason(now time.Duration, route *rattanwood.Route) Reason {
+	for _, s := range route.Shares {
+		for _, u := range t.upstreamsOf(s.Service) {
+			if u.registered && !u.Draining && !t.allowed(now, route, u) {
+				return Evacuated
+			}
+		}
+	}
+	return NoUpstream
+}
--- a/tagger/dump.go
+++ b/tagger/dump.go
@@ -56,6 +56,21 @@
 	return rows
 }
 
+// Usage returns the number of known upstreams in a data centre, and of the recent flows on them.
+func (t *Tagger) Usage(centre rattanwood.DataCentre) (upstreams, flows int) {
+	for _, u := range t.upstreams {
+		if u.DataCentre == centre {
+			upstreams++
+		}
+	}
+	for _, r := range t.recentFlows {
+		if u := t.upstreams[r.upstream]; u != nil && u.DataCentre == centre {
+			flows++
+		}
+	}
+	return upstreams, flows
+}
+
 // Flows returns rows for up to limit recent flows, sorted by Caller.
 func (t *Tagger) Flows(limit int) []FlowRow {
 	rows := []FlowRow{}
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"example.org/rattanwood"
+	"example.org/rattanwood/evacuator"
 	"example.org/rattanwood/placer"
 	"example.org/rattanwood/prober"
 )
@@ -46,7 +47,7 @@
 	// Retransmitted packets are retransmissions of a first packet and go to the upstream chosen for it.
 	Retransmitted
 	// Reassigned packets are first packets that go to another upstream, since the one chosen before
-	// doesn't answer.
+	// doesn't answer or is in a data centre that has been evacuated.
 	Reassigned
 	// NoRoute means that the packet's address has no route.
 	NoRoute
@@ -67,13 +68,15 @@
 	// Resuming means that the packet is a flow's first and may have waited here during a pause,
 	// while its retransmissions went to other balancers.
 	Resuming
+	// Evacuated means that the upstreams that could take the flow are in evacuated data centres.
+	Evacuated
 	reasonCount
 )
 
 // String returns the name of the reason.
 func (r Reason) String() string {
 	return [...]string{
-		"tagged", "placed", "repeated", "moved", "unbound", "empty", "unknown", "dead", "untagged", "forged", "stale", "waking",
+		"tagged", "placed", "repeated", "moved", "unbound", "empty", "unknown", "dead", "untagged", "forged", "stale", "waking", "evacuated",
 	}[r]
 }
 
@@ -121,6 +124,8 @@
 	Random         *rand.Rand
 	Placer         *placer.Placer
 	Prober         *prober.Prober
+	// Evacuator may be nil if no data centre is ever evacuated.
+	Evacuator *evacuator.Evacuator
 }
 
 // DefaultConfig returns the settings that the daemon uses.
@@ -200,6 +205,9 @@
 
 // New returns a tagger without routes and upstreams.
 func New(cfg Config) *Tagger {
+	if cfg.Evacuator == nil {
+		cfg.Evacuator = evacuator.New()
+	}
 	return &Tagger{
 		cfg:             cfg,
 		routes:          map[netip.AddrPort]*rattanwood.Route{},
--- a/tagger/tagger_test.go
+++ b/tagger/tagger_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"example.org/rattanwood"
+	"example.org/rattanwood/evacuator"
 	"example.org/rattanwood/placer"
 	"example.org/rattanwood/prober"
 	"example.org/rattanwood/tagger"
@@ -24,16 +25,17 @@
 // fixture is a tagger with two services: board on upstreams 1 to 4, maps on 5 and 6.
 type fixture struct {
 	*tagger.Tagger
-	prober *prober.Prober
-	placer *placer.Placer
-	now    time.Duration
+	prober    *prober.Prober
+	evacuator *evacuator.Evacuator
+	placer    *placer.Placer
+	now       time.Duration
 }
 
 func newFixture() *fixture {
 	random := rand.New(rand.NewPCG(1, 2))
-	f := &fixture{prober: prober.New(prober.DefaultConfig()), placer: placer.New(placer.DefaultConfig(random)), now: time.Second}
+	f := &fixture{evacuator: evacuator.New(), prober: prober.New(prober.DefaultConfig()), placer: placer.New(placer.DefaultConfig(random)), now: time.Second}
 	cfg := tagger.DefaultConfig()
-	cfg.DataCentre, cfg.Random, cfg.Placer, cfg.Prober = "east", random, f.placer, f.prober
+	cfg.DataCentre, cfg.Random, cfg.Placer, cfg.Prober, cfg.Evacuator = "east", random, f.placer, f.prober, f.evacuator
 	f.Tagger = tagger.New(cfg)
 	f.SetRouting(routing(1))
 	for i := range 6 {
