Keep evacuations in effect when the source comes back without them

After a return from an older copy, records that the copy lacked ended with the settle time, since authors that run have written theirs again by then. Operators write an evacuation once, so a return would have sent new flows to an evacuated data centre after 6 s.

reconciler now knows lasting records, which it keeps until they are deleted in the present era, and copier compares a digest of them by heartbeats (4 bytes, only where there are any), so that nodes that start later or were cut off learn of them before they trust the copy. Of two versions of a record the one of the higher position holds; deletions are kept as well, so that a node that missed one doesn't bring the record back. Nothing settles or stays unconfirmed for it. A deletion that the copy lacks is still only held.

Ruled out: the flag for settling as the sign for such records (a node that is informed already, or another one's smaller set, is missed), and a longer settle time (new routes and refusals would wait for it).

Tests seen red with: nothing kept, deletions or renewals not remembered, own deletions not told, no fetch, copy trusted at once, settling on, undone deletions merged, node without Lasting, checks of evacuated upstreams left on and left out altogether. messenger_test.go: nodes of the test fleet have a reconciler that knows a lasting key.

--- a/copier/copier.go
+++ b/copier/copier.go
@@ -75,6 +75,7 @@
 	payload.Prior, payload.Records = c.cfg.Replica.TakeChanges()
 	payload.Informed = c.cfg.Reconciler.Informed(now)
 	payload.Settling = payload.Informed && c.cfg.Reconciler.Settling(now)
+	payload.Kept = c.cfg.Reconciler.KeptDigest()
 }
 
 // HandleHeartbeat applies the changes and the confirmation in a heartbeat, and asks its sender for
@@ -101,9 +102,19 @@
 	case heartbeat.Position == replica.Position() && heartbeat.Confirmed && replica.Complete():
 		c.confirm(now, &out, watcher.Confirmation{Reader: heartbeat.Reader, Seq: heartbeat.ConfirmationSeq, At: now - heartbeat.Age})
 	}
+	if c.keepsOthers(heartbeat) {
+		c.cfg.Messenger.RequestFetch(now, heartbeat.From, c.FetchAfter())
+	}
 	return out
 }
 
+// keepsOthers reports whether a peer may keep lasting records in effect that this balancer doesn't.
+func (c *Copier) keepsOthers(heartbeat *messenger.Heartbeat) bool {
+	replica := c.cfg.Replica
+	return heartbeat.Kept != 0 && heartbeat.Kept != c.cfg.Reconciler.KeptDigest() &&
+		replica.Complete() && heartbeat.Position.Era() == replica.Position().Era()
+}
+
 // compareKnowledge records whether a peer knows what the source lost on its last return.
 func (c *Copier) compareKnowledge(now time.Duration, heartbeat *messenger.Heartbeat) {
 	era := c.cfg.Replica.Position().Era()
@@ -111,7 +122,7 @@
 	case !c.cfg.Replica.Complete() || c.cfg.Reconciler.Informed(now) || heartbeat.Position == 0:
 	case heartbeat.Position.Era() == era && !heartbeat.Informed:
 		c.uninformedPeers[heartbeat.From] = true
-	case heartbeat.Position.Era() == era && !heartbeat.Settling:
+	case heartbeat.Position.Era() == era && !heartbeat.Settling && !c.keepsOthers(heartbeat):
 		c.cfg.Reconciler.SetInformed()
 	default:
 		c.informedPeer = true
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -111,3 +112,52 @@
 	f.opensOnlyOn(2, 1, 100)
 	c.Assert(f.logs[3].linesWith("data centre evacuated"), qt.HasLen, 1)
 }
+
+// TestEvacuationOutlivesAnOlderCopy has the source come back from a copy that lacks an evacuation. It stays in force,
+// also on a node that starts from the copy, and nothing else waits for it. Operators end it by writing it again.
+func TestEvacuationOutlivesAnOlderCopy(t *testing.T) {
+	c := qt.New(t)
+	f := newDividedFleet(c)
+	all := []int{0, 1, 2}
+	f.src.write(evacuateWest, "{}")
+	f.eventuallyEvacuated(all, "west")
+	f.stops[2]()
+	c.Assert(<-f.ended[2], qt.IsNil)
+	f.src.rewind(1)
+	for i := range 2 {
+		f.eventually("node has learned of the return", func() bool { return f.state(i).Era == 1 })
+	}
+	f.eventually("settled", func() bool { return !f.state(0).Settling && !f.state(1).Settling })
+	f.start(2)
+	f.eventually("the restarted node is ready", func() bool { return f.get(2, "/ready", nil) == http.StatusOK })
+	for _, i := range all {
+		f.opensOnlyOn(i, 1, 100)
+		c.Assert(f.state(i).Settling, qt.IsFalse)
+		f.eventually("an address without a route is refused", func() bool { return f.open(i, 300, "198.18.0.9:443") == -1 })
+		c.Assert(f.state(i).Evacuated[0].Position, qt.Matches, "0/.*", qt.Commentf("operators see that the source lacks it"))
+	}
+	f.src.write(evacuateWest, "{}")
+	f.eventually("the request is known anew", func() bool { return f.state(2).Evacuated[0].Position == f.state(0).Evacuated[0].Position })
+	f.src.write(evacuateWest, "")
+	f.eventuallyEvacuated(all)
+}
+
+// TestEvacuatedUpstreamsAreCheckedForTheirFlows has an evacuated upstream stop. It isn't checked until there are
+// flows on it.
+func TestEvacuatedUpstreamsAreCheckedForTheirFlows(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c)
+	f.src.write(evacuateEast, "{}")
+	f.eventuallyEvacuated([]int{0, 1, 2}, "east")
+	c.Assert(f.upstreams[1].tcp.Close(), qt.IsNil)
+	// Regular checks within a data centre are a second apart.
+	time.Sleep(2500 * time.Millisecond)
+	avoided := func(i int) bool { return f.state(i).Upstreams[1].Avoid }
+	for i := range 3 {
+		c.Assert(avoided(i), qt.IsFalse)
+	}
+	for i := range 3 {
+		f.send(i, packet(7, "198.18.0.1:443", flagAck, tag(1), 2))
+	}
+	f.eventually("a node that checks it has a flow there, and finds out", func() bool { return avoided(0) || avoided(1) || avoided(2) })
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,7 +141,7 @@
 	n.watcher = watcher.New(watcherConfig(settings.Duration(set.Times.ApplyDeadline), n.messenger.ReaderID(), random))
 	n.copier = copier.New(copier.Config{
 		Replica: n.replica, Watcher: n.watcher, Messenger: n.messenger,
-		Reconciler:     reconciler.New(reconciler.Config{SettleTime: reconciler.DefaultSettleTime, Supersedes: cfg.Interpreter.Supersedes}),
+		Reconciler:     reconciler.New(reconcilerConfig(cfg.Interpreter)),
 		MaxFetchAge:    settings.Duration(set.Times.ApplyDeadline),
 		SpreadInterval: settings.Duration(set.Times.ApplyDeadline) / spreadsPerApplyDeadline,
 	})
@@ -187,6 +187,15 @@
 	}
 }
 
+// reconcilerConfig returns the reconciler's configuration. Evacuations are the records that operators write once,
+// while upstreams and the publisher of the routes write theirs again.
+func reconcilerConfig(i rattanwood.Interpreter) reconciler.Config {
+	return reconciler.Config{SettleTime: reconciler.DefaultSettleTime, Supersedes: i.Supersedes, Lasting: func(key string) bool {
+		_, ok := i.Evacuated(key)
+		return ok
+	}}
+}
+
 // watcherConfig divides the time within which a change must be in effect. A watch of a reader that has
 // since failed may take a third of it; after half of it, the balancer of the next rank starts to read;
 // the rest is for reading and for passing the change on.
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -101,6 +101,9 @@
 	Settling bool
 	// Informed is set if the sender knows what the source lost on its last return, or that it lost nothing.
 	Informed bool
+	// Kept is a digest of the records that the sender keeps in effect until they are deleted, although the source
+	// lost them; zero for none.
+	Kept uint32
 	// Records are all records that changed after the position Prior.
 	Prior   rattanwood.Position
 	Records []rattanwood.Record
@@ -188,7 +191,7 @@
 		// its PlatformUnreachable says here that the source is unreachable.
 		heartbeat := m.Members.BuildHeartbeat(now, to, detector.HeartbeatPayload{Version: rattanwood.Version(p.Position), Leaving: p.Leaving, PlatformUnreachable: p.SourceUnreachable})
 		heartbeat.Confirmed, heartbeat.Reader, heartbeat.Confirmation = shared.Confirmed, shared.Reader, shared.Confirmation
-		heartbeat.Settling, heartbeat.Informed = shared.Settling, shared.Informed
+		heartbeat.Settling, heartbeat.Informed, heartbeat.Kept = shared.Settling, shared.Informed, shared.Kept
 		// Receivers that have announced this revision already hold the records.
 		if to.Version < rattanwood.Version(p.Position) {
 			heartbeat.Prior, heartbeat.Records, heartbeat.Packed = shared.Prior, shared.Records, shared.Packed
@@ -209,7 +212,7 @@
 
 // encodePayload builds the part of a heartbeat that is the same for all receivers.
 func (m *Messenger) encodePayload(now time.Duration, p HeartbeatPayload) *wire.Beat {
-	heartbeat := &wire.Beat{Confirmed: EncodeAge(p.Age, p.Confirmed), Reader: uint64(p.Reader), Confirmation: p.ConfirmationSeq, Settling: p.Settling, Informed: p.Informed}
+	heartbeat := &wire.Beat{Confirmed: EncodeAge(p.Age, p.Confirmed), Reader: uint64(p.Reader), Confirmation: p.ConfirmationSeq, Settling: p.Settling, Informed: p.Informed, Kept: p.Kept}
 	if records, packed := m.Packer.EncodeBundle(p.Records); sizeOf(records)+len(packed) <= maxPushedBytes {
 		heartbeat.Prior, heartbeat.Records, heartbeat.Packed = uint64(p.Prior), records, packed
 	}
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -36,8 +36,10 @@
 	replica    *replicator.Replicator
 	watcher    *watcher.Watcher
 	copier     *copier.Copier
-	sent       int
-	bytes      int
+	// evacuated is set while the record keyEvacuation is in effect.
+	evacuated bool
+	sent      int
+	bytes     int
 	// remoteBytes are those of bytes that went to other data centres, and received the bytes that arrived.
 	remoteBytes, received int
 }
@@ -82,7 +84,7 @@
 	for seed := range min(3, len(f.nodes)) {
 		n.messenger.Members.Add(rattanwood.VMID(f.nodes[seed].address.Addr().String()), f.nodes[seed].address, "")
 	}
-	n.copier = copier.New(copier.Config{Replica: n.replica, Reconciler: reconciler.New(reconciler.Config{}), Watcher: n.watcher, Messenger: n.messenger, SpreadInterval: step})
+	n.copier = copier.New(copier.Config{Replica: n.replica, Reconciler: reconciler.New(reconcilerConfig), Watcher: n.watcher, Messenger: n.messenger, SpreadInterval: step})
 	n.replica.ReplaceAll(nil, 0)
 	f.nodes = append(f.nodes, n)
 	f.byAddress[n.address] = n
@@ -148,6 +150,7 @@
 
 // spreadChanges triggers heartbeats if records changed.
 func (n *node) spreadChanges(u copier.Update) {
+	n.trackEvacuation(u.Changed)
 	if len(u.Changed) > 0 {
 		n.messenger.Members.TriggerHeartbeats()
 	}
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -65,7 +65,7 @@
 		heartbeat.Records, heartbeat.RecordsError = DecodeBundle(message.GetRecords(), message.GetPacked())
 	}
 	heartbeat.Position, heartbeat.Leaving, heartbeat.SourceUnreachable = rattanwood.Position(message.GetVersion()), message.GetLeaving(), message.GetBlind()
-	heartbeat.Settling, heartbeat.Informed = message.GetSettling(), message.GetInformed()
+	heartbeat.Settling, heartbeat.Informed, heartbeat.Kept = message.GetSettling(), message.GetInformed(), message.GetKept()
 	heartbeat.Age, heartbeat.Confirmed = DecodeAge(message.GetConfirmed())
 	heartbeat.Reader, heartbeat.ConfirmationSeq = watcher.ReaderID(message.GetReader()), message.GetConfirmation()
 	for _, l := range message.GetLoads() {
