--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"example.org/rattanwood"
 	"example.org/rattanwood/copier"
 	"example.org/rattanwood/detector"
+	"example.org/rattanwood/evacuator"
 	"example.org/rattanwood/internal/dialer"
 	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
@@ -74,6 +75,7 @@
 	watcher   *watcher.Watcher
 	copier    *copier.Copier
 	tagger    *tagger.Tagger
+	evacuator *evacuator.Evacuator
 	prober    *prober.Prober
 	placer    *placer.Placer
 	// rejected counts invalid input by reason.
@@ -118,6 +120,7 @@
 		started:           time.Now(),
 		peers:             dialer.New(),
 		replica:           replicator.New(),
+		evacuator:         evacuator.New(),
 		rejected:          map[string]uint64{},
 		timings:           newTimings(),
 		forwarded:         map[tagger.Reason]bool{},
@@ -138,7 +141,7 @@
 	n.watcher = watcher.New(watcherConfig(settings.Duration(set.Times.ApplyDeadline), n.messenger.ReaderID(), random))
 	n.copier = copier.New(copier.Config{
 		Replica: n.replica, Watcher: n.watcher, Messenger: n.messenger,
-		Reconciler:     reconciler.New(reconciler.Config{SettleTime: reconciler.DefaultSettleTime, Supersedes: cfg.Interpreter.Supersedes}),
+		Reconciler:     reconciler.New(reconcilerConfig(cfg.Interpreter)),
 		MaxFetchAge:    settings.Duration(set.Times.ApplyDeadline),
 		SpreadInterval: settings.Duration(set.Times.ApplyDeadline) / spreadsPerApplyDeadline,
 	})
@@ -148,7 +151,7 @@
 	n.placer = placer.New(placerConfig)
 	taggerConfig := tagger.DefaultConfig()
 	taggerConfig.DataCentre = rattanwood.DataCentre(set.DataCentre)
-	taggerConfig.Random, taggerConfig.Placer, taggerConfig.Prober = random, n.placer, n.prober
+	taggerConfig.Random, taggerConfig.Placer, taggerConfig.Prober, taggerConfig.Evacuator = random, n.placer, n.prober, n.evacuator
 	n.tagger = tagger.New(taggerConfig)
 	if err := n.listen(); err != nil {
 		n.close()
@@ -184,6 +187,15 @@
 	}
 }
 
+// reconcilerConfig returns the reconciler's configuration. Evacuations are the records that operators write once,
+// while upstreams and the publisher of the routes write theirs again.
+func reconcilerConfig(i rattanwood.Interpreter) reconciler.Config {
+	return reconciler.Config{SettleTime: reconciler.DefaultSettleTime, Supersedes: i.Supersedes, Lasting: func(key string) bool {
+		_, ok := i.Evacuated(key)
+		return ok
+	}}
+}
+
 // watcherConfig divides the time within which a change must be in effect. A watch of a reader that has
 // since failed may take a third of it; after half of it, the balancer of the next rank starts to read;
 // the rest is for reading and for passing the change on.
