Open no connections to upstreams that serve no one

Ruled out: first checks by each node when an upstream is added (Prober.Add waits for the period, and only the assigned node checks).

Now nobody checks regularly before its list of members agrees with a peer's; the question is asked over the connection of the check; reference checks begin when a check has run for 25 ms and its timeout would count; drained upstreams are checked once a second while checks pass. With no check passed yet, a reference is picked all the same, so that the first suspicion after a start can be decided.

That a check asks for the id over its own connection follows from the interface and has no test of its own.

--- a/internal/cli/balancer.go
+++ b/internal/cli/balancer.go
@@ -91,7 +91,7 @@
 		n, err := node.New(node.Config{
 			Settings: set, SettingsFile: c.Settings, Incarnation: incarnation, Log: log,
 			Source: platform.NewStore(platform.Config{Address: netip.MustParseAddrPort(set.Platform), StallTimeout: node.SourceStallTimeout}), Interpreter: platform.Interpreter{},
-			Codec: platform.Codec{Port: set.TunnelAddress().Port()}, IdentityChecker: platform.NewIdentityChecker(),
+			Codec: platform.Codec{Port: set.TunnelAddress().Port()}, IdentityChecker: platform.IdentityChecker{},
 		})
 		if err != nil {
 			return err
--- a/internal/node/checks.go
+++ b/internal/node/checks.go
@@ -28,13 +28,24 @@
 )
 
 // startChecks runs health checks in the background. A check opens a connection to an upstream and closes
-// it at once; if requested, it also asks the upstream for its id.
+// it at once; if requested, it first asks the upstream for its id.
 func (n *Node) startChecks(ctx context.Context, began time.Duration, due []prober.Check) {
 	for _, c := range due {
 		n.background.Go(func() { n.checkUpstream(ctx, began, c) })
 	}
 }
 
+// startReference runs the reference check that a check still running after prober.ReferenceDelay may need.
+func (n *Node) startReference(ctx context.Context, id rattanwood.UpstreamID, began time.Duration) {
+	n.mu.Lock()
+	now := n.now()
+	reference, ok := n.prober.StartReference(now, id, began)
+	n.mu.Unlock()
+	if ok {
+		n.startChecks(ctx, now, []prober.Check{reference})
+	}
+}
+
 // checkUpstream runs one check, records its result and sends the packets that the result leads to.
 func (n *Node) checkUpstream(ctx context.Context, began time.Duration, c prober.Check) {
 	id := c.Upstream
@@ -44,13 +55,8 @@
 	n.mu.Unlock()
 	outcome := prober.Inconclusive
 	if ok {
-		n.counters.checks.Add(1)
-		dialled := time.Now()
-		outcome = dialUpstream(ctx, r.Address.String())
-		n.timings.check.Observe(time.Since(dialled).Seconds())
-		if outcome == prober.Passed && c.Identify && path != "" {
-			outcome = n.identify(ctx, r, path)
-		}
+		n.counters.checks[c.Cause].Add(1)
+		outcome = n.connect(ctx, began, c, r, path)
 	}
 	n.mu.Lock()
 	now := n.now()
@@ -79,13 +85,31 @@
 	n.sendPackets(outgoing, age, position)
 }
 
+// connect opens the connection of a check. Over the same connection, it asks the upstream for its id if the check
+// requests that.
+func (n *Node) connect(ctx context.Context, began time.Duration, c prober.Check, r rattanwood.Registration, path string) prober.Outcome {
+	pending := time.AfterFunc(prober.ReferenceDelay, func() { n.startReference(ctx, c.Upstream, began) })
+	dialled := time.Now()
+	conn, outcome := dialUpstream(ctx, r.Address.String())
+	pending.Stop()
+	n.timings.check.Observe(time.Since(dialled).Seconds())
+	if conn == nil {
+		return outcome
+	}
+	defer func() { _ = conn.Close() }()
+	if c.Identify && path != "" {
+		return n.identify(ctx, conn, r, path)
+	}
+	return outcome
+}
+
 // identify checks that the upstream itself, and not another one, answers at its address. If the request
 // fails, the check still passes, since the upstream has accepted a connection and may just be busy.
-func (n *Node) identify(ctx context.Context, r rattanwood.Registration, path string) prober.Outcome {
+func (n *Node) identify(ctx context.Context, conn net.Conn, r rattanwood.Registration, path string) prober.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
 	n.counters.identifications.Add(1)
-	answering, err := n.cfg.IdentityChecker.Identify(ctx, r.Address, path)
+	answering, err := n.cfg.IdentityChecker.Identify(ctx, conn, path)
 	switch {
 	case err != nil:
 		n.log.Debug("upstream identity check failed", zap.Stringer(logger.KeyUpstream, r.Instance.Upstream()), zap.String(logger.KeyError, err.Error()))
@@ -96,18 +120,17 @@
 	return prober.Passed
 }
 
-// dialUpstream checks whether an upstream accepts connections.
-func dialUpstream(ctx context.Context, address string) prober.Outcome {
+// dialUpstream checks whether an upstream accepts connections, and returns the connection if it does.
+func dialUpstream(ctx context.Context, address string) (net.Conn, prober.Outcome) {
 	d := net.Dialer{Timeout: checkTimeout}
 	conn, err := d.DialContext(ctx, "tcp4", address)
 	switch {
 	case err == nil:
-		_ = conn.Close()
-		return prober.Passed
+		return conn, prober.Passed
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return prober.Refused
+		return nil, prober.Refused
 	case ctx.Err() != nil:
-		return prober.Inconclusive
+		return nil, prober.Inconclusive
 	}
-	return prober.TimedOut
+	return nil, prober.TimedOut
 }
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -276,7 +276,7 @@
 	f.c.Assert(err, qt.IsNil)
 	n, err := node.New(node.Config{
 		Settings: set, SettingsFile: file, Incarnation: rattanwood.Incarnation(time.Now().UnixNano()), Log: log,
-		Source: f.src, Interpreter: platform.Interpreter{}, Codec: platform.Codec{Port: uint16(f.ports.Tunnel)}, IdentityChecker: platform.NewIdentityChecker(),
+		Source: f.src, Interpreter: platform.Interpreter{}, Codec: platform.Codec{Port: uint16(f.ports.Tunnel)}, IdentityChecker: platform.IdentityChecker{},
 	})
 	f.c.Assert(err, qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -7,12 +7,15 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"example.org/rattanwood/limiter"
+	"example.org/rattanwood/prober"
 	"example.org/rattanwood/tagger"
 )
 
 // counters counts events outside of the decision logic, which has its own counters.
 type counters struct {
-	sourceCalls, sourceErrors, checks, identifications atomic.Uint64
+	sourceCalls, sourceErrors, identifications atomic.Uint64
+	// checks counts the connections opened to check upstreams.
+	checks [prober.CauseCount]atomic.Uint64
 }
 
 // Descriptions of the metrics.
@@ -20,7 +23,7 @@
 	descPackets    = prometheus.NewDesc("rattanwood_packets_total", "Packets by decision.", []string{"action", "reason"}, nil)
 	descRejected   = prometheus.NewDesc("rattanwood_rejected_total", "Bad input by reason.", []string{"reason"}, nil)
 	descCalls      = prometheus.NewDesc("rattanwood_source_calls_total", "Calls of the source.", []string{"outcome"}, nil)
-	descChecks     = prometheus.NewDesc("rattanwood_checks_total", "Connections opened to check upstreams.", nil, nil)
+	descChecks     = prometheus.NewDesc("rattanwood_checks_total", "Connections opened to check upstreams, by cause.", []string{"cause"}, nil)
 	descIdentify   = prometheus.NewDesc("rattanwood_identifications_total", "Upstreams asked who they are.", nil, nil)
 	descControl    = prometheus.NewDesc("rattanwood_control_bytes_total", "Bytes of heartbeats and the like by class.", []string{"class", "fate"}, nil)
 	descRevision   = prometheus.NewDesc("rattanwood_source_revision", "Revision of the records.", nil, nil)
@@ -77,7 +80,9 @@
 	calls, failed := n.counters.sourceCalls.Load(), n.counters.sourceErrors.Load()
 	counter(descCalls, calls-min(failed, calls), "answered")
 	counter(descCalls, failed, "failed")
-	counter(descChecks, n.counters.checks.Load())
+	for cause := range prober.CauseCount {
+		counter(descChecks, n.counters.checks[cause].Load(), cause.String())
+	}
 	counter(descIdentify, n.counters.identifications.Load())
 	counter(descLogDropped, n.cfg.Log.Dropped())
 	n.mu.Lock()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -213,17 +213,11 @@
 // assignment returns which health checks of an upstream are this balancer's duty. The calling code must hold mu.
 func (n *Node) assignment(id rattanwood.UpstreamID) prober.Assignment {
 	r, registered, ok := n.tagger.Upstream(id)
-	now, local := n.now(), string(r.DataCentre) == n.cfg.Settings.DataCentre
-	switch {
-	case !ok || !registered:
-		return prober.Unregistered
-	case n.shuttingDown.Load() || !n.messenger.ChecksUpstream(now, id):
-		if !local && !n.tagger.UsedLately(now, id) {
-			return prober.Unused
-		}
-		return prober.AssignedElsewhere
-	case local:
-		return prober.AssignedLocal
-	}
-	return prober.AssignedRemote
+	now := n.now()
+	return prober.Duty{
+		Registered: ok && registered,
+		Local:      string(r.DataCentre) == n.cfg.Settings.DataCentre,
+		Checker:    !n.shuttingDown.Load() && n.messenger.ChecksUpstream(now, id),
+		Used:       n.tagger.UsedLately(now, id),
+	}.Assignment()
 }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -149,6 +149,30 @@
 	// assignments caches the results of ChecksUpstream since assignedAt.
 	assignments map[rattanwood.UpstreamID]bool
 	assignedAt  time.Duration
+	settling    settling
+}
+
+// settling tells when the member list of a balancer that has just started is complete enough to rank
+// balancers. Until then it would take itself for the first rank of most upstreams.
+type settling struct {
+	done, began bool
+	// beganAt is when the first Tick was, and changedAt when the number of members last changed.
+	beganAt, changedAt time.Duration
+	members            int
+	// agreed is set once a peer had the same list as this balancer since changedAt.
+	agreed bool
+}
+
+// observe updates the state with the number of members that are known now. Without an agreeing peer, the list
+// counts as complete after a time limit.
+func (s *settling) observe(now time.Duration, members int, quiet, limit time.Duration) {
+	if !s.began {
+		s.began, s.beganAt, s.changedAt = true, now, now
+	}
+	if members != s.members {
+		s.members, s.changedAt, s.agreed = members, now, false
+	}
+	s.done = s.done || s.agreed && now-s.changedAt >= quiet || now-s.beganAt >= limit
 }
 
 // New returns a messenger that knows no other balancer yet.
@@ -175,6 +199,9 @@
 // heartbeats to send.
 func (m *Messenger) Tick(now time.Duration, payload func() HeartbeatPayload) {
 	receivers, probes := m.Members.Tick(now)
+	if !m.settling.done {
+		m.settling.observe(now, len(m.Members.Members()), m.cfg.Detector.HeartbeatInterval/2, m.cfg.Detector.DeadAfter)
+	}
 	for _, probe := range probes {
 		m.send(now, probe.Helper, &wire.Envelope{Body: &wire.Envelope_Probe{Probe: &wire.Probe{Target: string(probe.Target)}}})
 	}
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -54,10 +54,21 @@
 	log       []rattanwood.Record
 	// loads is the number of upstreams that each node reports a load for.
 	loads int
+	// onPayload adds to what a node sends, and onHeartbeat handles what it receives.
+	onPayload   func(n *node, p *payload)
+	onHeartbeat func(n *node, h *heartbeat)
 }
 
+type (
+	payload   = messenger.HeartbeatPayload
+	heartbeat = messenger.Heartbeat
+)
+
 func newFleet(c *qt.C, n int) *fleet {
-	f := &fleet{c: c, byAddress: map[netip.AddrPort]*node{}, isCut: func(*node, *node) bool { return false }, random: rand.New(rand.NewPCG(3, 4))}
+	f := &fleet{
+		c: c, byAddress: map[netip.AddrPort]*node{}, isCut: func(*node, *node) bool { return false }, random: rand.New(rand.NewPCG(3, 4)),
+		onPayload: func(*node, *payload) {}, onHeartbeat: func(*node, *heartbeat) {},
+	}
 	for i := range n {
 		f.add(i)
 	}
@@ -97,6 +108,7 @@
 	for id := range f.loads {
 		p.Loads = append(p.Loads, messenger.LoadReport{Upstream: rattanwood.UpstreamID(id + 1), Requests: 5})
 	}
+	f.onPayload(n, &p)
 	return p
 }
 
@@ -143,6 +155,7 @@
 func (f *fleet) receive(to, from *node, e *wire.Envelope) {
 	if heartbeat, ok := to.messenger.HandleMessage(f.now, from.address, e); ok {
 		to.spreadChanges(to.copier.HandleHeartbeat(f.now, &heartbeat))
+		f.onHeartbeat(to, &heartbeat)
 	}
 }
 
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -54,6 +54,7 @@
 	if !ok {
 		return Heartbeat{}, false
 	}
+	m.settling.agreed = m.settling.agreed || !diff.Members
 	if diff.Members && (m.lastPull == 0 || now-m.lastPull >= pullInterval) {
 		m.lastPull = now
 		m.send(now, sender, &wire.Envelope{Body: &wire.Envelope_Pull{Pull: m.Members.BuildPull()}})
@@ -123,8 +124,12 @@
 var readerKey = ranker.Seed("reader")
 
 // ChecksUpstream reports whether this balancer is the one of its own data centre that checks an
-// upstream, wherever the upstream is. The result may be assignmentTTL old.
+// upstream, wherever the upstream is. The result may be assignmentTTL old. No balancer is until its list of
+// members is complete or has had the time to become so.
 func (m *Messenger) ChecksUpstream(now time.Duration, id rattanwood.UpstreamID) bool {
+	if !m.settling.done {
+		return false
+	}
 	if now-m.assignedAt >= assignmentTTL {
 		m.assignedAt = now
 		clear(m.assignments)
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -52,6 +52,57 @@
 	AssignedLocal
 )
 
+// Duty is what a balancer's regular checks of an upstream depend on.
+type Duty struct {
+	// Registered is true for upstreams that the source lists, and Local for those in the balancer's own
+	// data centre.
+	Registered, Local bool
+	// Checker is true if the balancer is the one of its data centre that checks the upstream.
+	Checker bool
+	// Used is true if the balancer has sent packets to the upstream lately.
+	Used bool
+}
+
+// Assignment returns the assignment that follows from a duty.
+func (d Duty) Assignment() Assignment {
+	switch {
+	case !d.Registered:
+		return Unregistered
+	case d.Checker && d.Local:
+		return AssignedLocal
+	case d.Checker:
+		return AssignedRemote
+	case d.Local || d.Used:
+		return AssignedElsewhere
+	}
+	return Unused
+}
+
+// Cause is the reason for a check.
+type Cause uint8
+
+const (
+	// Regular checks are the duty of the balancer that an upstream is assigned to.
+	Regular Cause = iota
+	// Suspected upstreams were reported by ReportSuspicion.
+	Suspected
+	// PeerReported upstreams were reported by a peer.
+	PeerReported
+	// Repeated checks follow one that failed, until the upstream counts as dead or passes.
+	Repeated
+	// Rechecked upstreams fail their checks and are assigned to another balancer.
+	Rechecked
+	// Reference checks show whether answers arrive at all.
+	Reference
+	// CauseCount is the number of causes.
+	CauseCount
+)
+
+// String returns the name of the cause as metrics show it.
+func (c Cause) String() string {
+	return [...]string{"regular", "suspected", "reported", "repeated", "rechecked", "reference"}[c]
+}
+
 // Config holds the settings of a Prober.
 type Config struct {
 	// LocalPeriod and RemotePeriod are the times between two regular checks of an upstream that is
@@ -107,8 +158,8 @@
 	// since the last timeout.
 	failures int
 	refusals int
-	// running is true while a check is under way.
-	running bool
+	// running is true while a check is under way, and suspected if that has another cause than the time.
+	running, suspected bool
 	// suspicionReported and peerReported request a check.
 	suspicionReported bool
 	peerReported      bool
@@ -134,6 +185,8 @@
 	budget    *limiter.Limiter
 	// latestPassed is when the latest check of any upstream that passed began.
 	latestPassed time.Duration
+	// latestReference is when the latest reference check began.
+	latestReference time.Duration
 }
 
 // New returns a Prober without upstreams.
@@ -171,6 +224,18 @@
 	}
 }
 
+// ReportUnregistered requests a check because of a packet to an upstream that has been unregistered
+// since a time. One that has passed a check within LocalPeriod isn't checked again: retransmissions tell
+// of its end as of that of registered ones.
+func (p *Prober) ReportUnregistered(now time.Duration, id rattanwood.UpstreamID, since time.Duration) {
+	if r := p.upstreams[id]; r != nil {
+		r.trafficEvidence = true
+		if !r.running && (r.lastPassed == 0 || r.lastPassed < since || now-r.lastPassed >= p.cfg.LocalPeriod) {
+			r.suspicionReported = true
+		}
+	}
+}
+
 // PeerReport is what a peer says of an upstream that fails its checks.
 type PeerReport struct {
 	// SameDataCentre is true if the peer is in this balancer's data centre, so that its packets take
@@ -207,71 +272,90 @@
 	// Identify requires the upstream to prove its identity: that something accepts connections at
 	// its address isn't enough.
 	Identify bool
+	Cause    Cause
 }
 
-// StartDueChecks returns the checks to begin now. Each of them must be followed by a RecordResult.
-// Checks that may time out are accompanied by a reference check of an upstream that passed one
-// lately: if that times out too, the fault is probably on this side.
+// StartDueChecks returns the checks to begin now. Each of them must be followed by a RecordResult, and
+// by a StartReference if it is still running after ReferenceDelay.
 func (p *Prober) StartDueChecks(now time.Duration, assignment func(rattanwood.UpstreamID) Assignment) []Check {
 	var due []Check
-	needReference := false
 	for _, id := range slices.Sorted(maps.Keys(p.upstreams)) {
 		r := p.upstreams[id]
 		assigned := assignment(id)
 		if assigned == Unused && r.failures > 0 && now-r.lastCheck >= p.cfg.RecheckPeriod && !r.running {
 			r.forget()
 		}
+		cause, isDue := p.isDue(now, r, assigned)
 		// All checks spend from the budget in one class: Answers has neither a reserve nor an overdraft.
-		if r.running || !p.isDue(now, r, assigned) || !p.budget.Allow(now, limiter.Answers, 1) {
+		if r.running || !isDue || !p.budget.Allow(now, limiter.Answers, 1) {
 			continue
 		}
 		suspected := r.failures > 0 || r.suspicionReported || r.peerReported || r.trafficEvidence
-		needReference = needReference || suspected
-		r.beginCheck(now)
-		due = append(due, Check{Upstream: id, Identify: suspected})
-	}
-	if needReference {
-		if id, ok := p.pickReference(); ok {
-			p.upstreams[id].beginCheck(now)
-			due = append(due, Check{Upstream: id})
-		}
+		r.beginCheck(now, suspected)
+		due = append(due, Check{Upstream: id, Identify: suspected, Cause: cause})
 	}
 	return due
 }
 
-func (r *upstreamState) beginCheck(now time.Duration) {
-	r.running, r.suspicionReported, r.peerReported, r.lastCheck = true, false, false, now
+// ReferenceDelay is how long a check runs before StartReference is called for it. Upstreams that run
+// answer in a fraction of it, and a reference check that begins then still ends before the first one
+// times out.
+const ReferenceDelay = 25 * time.Millisecond
+
+// StartReference returns a reference check to begin now, for a check of an upstream that began at a time
+// and may time out: a check of one that passed lately. If that times out too, the fault is probably on
+// this side. ok is false if none is needed or possible.
+func (p *Prober) StartReference(now time.Duration, id rattanwood.UpstreamID, began time.Duration) (c Check, ok bool) {
+	r := p.upstreams[id]
+	if r == nil || !r.running || !r.suspected || r.lastCheck != began || r.isDecided() || p.latestPassed >= began || p.latestReference >= began {
+		return Check{}, false
+	}
+	reference, ok := p.pickReference(id)
+	if !ok {
+		return Check{}, false
+	}
+	p.latestReference = now
+	p.upstreams[reference].beginCheck(now, false)
+	return Check{Upstream: reference, Cause: Reference}, true
+}
+
+func (r *upstreamState) beginCheck(now time.Duration, suspected bool) {
+	r.running, r.suspected, r.suspicionReported, r.peerReported, r.lastCheck = true, suspected, false, false, now
 }
 
-func (p *Prober) isDue(now time.Duration, r *upstreamState, assignment Assignment) bool {
+// isDue reports whether an upstream is to be checked now, and why.
+func (p *Prober) isDue(now time.Duration, r *upstreamState, assignment Assignment) (Cause, bool) {
 	sinceCheck := now - r.lastCheck
 	switch {
-	case r.failures > 0 && !r.isDead() && r.failures < timeoutsToDeclareDead && assignment != Unregistered && (assignment != Unused || r.trafficEvidence):
+	case r.failures > 0 && !r.isDecided() && assignment != Unregistered && (assignment != Unused || r.trafficEvidence):
 		// The next few checks decide, and until then the Callers of this upstream wait.
-		return true
-	case r.suspicionReported && sinceCheck >= p.cfg.SuspicionInterval, r.peerReported && assignment != Unused && sinceCheck >= p.cfg.PeerReportInterval:
-		return true
+		return Repeated, true
+	case r.suspicionReported && sinceCheck >= p.cfg.SuspicionInterval:
+		return Suspected, true
+	case r.peerReported && assignment != Unused && sinceCheck >= p.cfg.PeerReportInterval:
+		return PeerReported, true
 	case assignment == Unregistered, assignment == Unused:
-		return false
+		return Regular, false
 	case r.failures > 0 && assignment == AssignedElsewhere:
-		return sinceCheck >= p.cfg.RecheckPeriod
+		return Rechecked, sinceCheck >= p.cfg.RecheckPeriod
 	case assignment == AssignedLocal:
-		return sinceCheck >= p.cfg.LocalPeriod
+		return Regular, sinceCheck >= p.cfg.LocalPeriod
 	case assignment == AssignedRemote:
-		return sinceCheck >= p.cfg.RemotePeriod
+		return Regular, sinceCheck >= p.cfg.RemotePeriod
 	}
-	return false
+	return Regular, false
 }
 
 // pickReference returns the upstream that passed a check last, of those that don't fail and aren't
-// being checked.
-func (p *Prober) pickReference() (id rattanwood.UpstreamID, ok bool) {
+// being checked. As long as none has passed, it is the next one in the order of the IDs, so that the
+// first suspicion after a start can be decided too.
+func (p *Prober) pickReference(suspect rattanwood.UpstreamID) (id rattanwood.UpstreamID, ok bool) {
 	var best *upstreamState
 	for candidate, r := range p.upstreams {
-		if r.running || r.failures > 0 || r.lastPassed == 0 {
+		if r.running || r.failures > 0 {
 			continue
 		}
-		if best == nil || r.lastPassed > best.lastPassed || r.lastPassed == best.lastPassed && candidate < id {
+		if best == nil || r.lastPassed > best.lastPassed || r.lastPassed == best.lastPassed && candidate-suspect < id-suspect {
 			best, id = r, candidate
 		}
 	}
@@ -299,6 +383,9 @@
 	}
 	r.running = false
 	if o == TimedOut && (p.latestPassed == 0 || p.latestPassed < began) {
+		if r.isDecided() {
+			return StateChange{}
+		}
 		// Repeat the check together with a reference check.
 		r.suspicionReported = true
 		return StateChange{}
@@ -321,6 +408,9 @@
 	return change
 }
 
+// isDecided reports whether further timeouts change nothing.
+func (r *upstreamState) isDecided() bool { return r.isDead() || r.failures >= timeoutsToDeclareDead }
+
 func (r *upstreamState) shouldAvoid() bool { return r.failures >= failuresToAvoid }
 
 func (r *upstreamState) isDead() bool {
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -24,6 +24,8 @@
 	checkOutcome func(now time.Duration, due prober.Check) prober.Outcome
 	assignment   prober.Assignment
 	checkCount   int
+	// causes counts the checks by cause.
+	causes [prober.CauseCount]int
 	// avoidedAt and deadAt hold when each upstream first entered that state.
 	avoidedAt, deadAt map[rattanwood.UpstreamID]time.Duration
 }
@@ -47,24 +49,38 @@
 
 func (s *simulation) run(until time.Duration) {
 	for ; s.now < until; s.now += step {
+		// Timeouts come last, after the answers that arrived before them.
+		for _, timedOut := range []bool{false, true} {
+			for id := rattanwood.UpstreamID(1); int(id) <= s.n; id++ {
+				if c, ok := s.inProgress[id]; ok && c.ends <= s.now && (c.outcome == prober.TimedOut) == timedOut {
+					delete(s.inProgress, id)
+					s.recordResult(id, c)
+				}
+			}
+		}
 		for id := rattanwood.UpstreamID(1); int(id) <= s.n; id++ {
-			if c, ok := s.inProgress[id]; ok && c.ends <= s.now {
-				delete(s.inProgress, id)
-				s.recordResult(id, c)
+			if c, ok := s.inProgress[id]; ok && s.now-c.began >= prober.ReferenceDelay {
+				if reference, ok := s.p.StartReference(s.now, id, c.began); ok {
+					s.begin(reference)
+				}
 			}
 		}
 		for _, due := range s.p.StartDueChecks(s.now, func(rattanwood.UpstreamID) prober.Assignment { return s.assignment }) {
-			s.checkCount++
-			id := due.Upstream
-			c := check{began: s.now, ends: s.now, outcome: s.checkOutcome(s.now, due)}
-			if c.outcome == prober.TimedOut {
-				c.ends += timeout
-			}
-			s.inProgress[id] = c
+			s.begin(due)
 		}
 	}
 }
 
+func (s *simulation) begin(due prober.Check) {
+	s.checkCount++
+	s.causes[due.Cause]++
+	c := check{began: s.now, ends: s.now, outcome: s.checkOutcome(s.now, due)}
+	if c.outcome == prober.TimedOut {
+		c.ends += timeout
+	}
+	s.inProgress[due.Upstream] = c
+}
+
 func (s *simulation) recordResult(id rattanwood.UpstreamID, c check) {
 	v := s.p.RecordResult(id, c.began, c.outcome)
 	if _, ok := s.avoidedAt[id]; v.Avoid && !ok {
@@ -278,3 +294,71 @@
 	run(4)
 	c.Assert(s.p.IsDead(1), qt.IsFalse)
 }
+
+// TestFirstSuspicionIsDecided has packets to a dead upstream retransmitted right after a start, before any
+// regular check.
+func TestFirstSuspicionIsDecided(t *testing.T) {
+	c := qt.New(t)
+	s := newSimulation(14)
+	s.assignment = prober.AssignedElsewhere
+	s.checkOutcome = func(_ time.Duration, due prober.Check) prober.Outcome {
+		if due.Upstream == 3 {
+			return prober.TimedOut
+		}
+		return prober.Passed
+	}
+	s.run(300 * time.Millisecond)
+	s.p.ReportSuspicion(3)
+	s.run(time.Second)
+	c.Assert(s.avoidedAt[3] != 0 && s.avoidedAt[3] <= 700*time.Millisecond, qt.IsTrue, qt.Commentf("avoided at %v", s.avoidedAt[3]))
+}
+
+// TestSuspectsCostFewConnections reports suspicions of healthy upstreams, as full ones cause them, keeps sending
+// packets to one that left the source while it drains, and has one that stays dead.
+func TestSuspectsCostFewConnections(t *testing.T) {
+	tests := map[string]struct {
+		report     func(p *prober.Prober, now time.Duration)
+		assignment prober.Assignment
+		outcome    prober.Outcome
+		// checks and references are the numbers of checks of the suspect and of reference checks in ten seconds
+		// that serve someone.
+		checks, references int
+	}{
+		"retransmissions each second": {func(p *prober.Prober, now time.Duration) {
+			if now%time.Second == 0 {
+				p.ReportSuspicion(3)
+			}
+		}, prober.Unregistered, prober.Passed, 10, 0},
+		"packets to an unregistered upstream": {func(p *prober.Prober, now time.Duration) {
+			p.ReportUnregistered(now, 3, 500*time.Millisecond)
+		}, prober.Unregistered, prober.Passed, 11, 0},
+		// Four timeouts prove the death and each needs a reference; then there is a check each 3 s.
+		"dead upstream": {func(p *prober.Prober, now time.Duration) {
+			if now == 0 {
+				p.ReportSuspicion(3)
+			}
+		}, prober.AssignedElsewhere, prober.TimedOut, 4 + 4, 4},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newSimulation(14)
+			s.assignment = test.assignment
+			s.checkOutcome = func(_ time.Duration, due prober.Check) prober.Outcome {
+				if due.Upstream == 3 {
+					return test.outcome
+				}
+				return prober.Passed
+			}
+			for end := 10 * time.Second; s.now < end; {
+				test.report(s.p, s.now)
+				s.run(s.now + step)
+			}
+			references := s.causes[prober.Reference]
+			checks := s.checkCount - references
+			c.Assert(checks > 0 && checks <= test.checks, qt.IsTrue, qt.Commentf("%d checks", checks))
+			c.Assert(references <= test.references, qt.IsTrue, qt.Commentf("%d reference checks", references))
+			c.Assert(s.p.IsDead(3), qt.Equals, test.outcome == prober.TimedOut)
+		})
+	}
+}
--- a/source.go
+++ b/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/netip"
 	"strconv"
 	"time"
@@ -90,11 +91,11 @@
 	Evacuated(key string) (centre DataCentre, ok bool)
 }
 
-// IdentityChecker asks the server at an address which upstream it is.
+// IdentityChecker asks the server at the other end of a connection which upstream it is.
 type IdentityChecker interface {
-	// Identify returns the id of the upstream that answers at an address, or fails with a SourceError.
-	// The path is that of the service's health check.
-	Identify(ctx context.Context, address netip.AddrPort, path string) (InstanceID, error)
+	// Identify returns the id of the upstream that answers on a new connection, or fails with a
+	// SourceError. The path is that of the service's health check. The connection isn't used again.
+	Identify(ctx context.Context, conn net.Conn, path string) (InstanceID, error)
 }
 
 // Entity is the content of a record: a *Routing, a *Registration or an *Evacuation.
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -69,7 +69,7 @@
 	if !u.registered {
 		// The host may still run: while it drains, or when only its registration's lease has
 		// expired.
-		t.cfg.Prober.ReportSuspicion(u.id)
+		t.cfg.Prober.ReportUnregistered(now, u.id, u.removedAt)
 		if t.isCurrent(now) && now-u.removedAt > t.cfg.ReregistrationTime && t.addressReused(u) {
 			return t.resetEstablished(now, s, UpstreamDead)
 		}
