--- a/messenger/evacuation_test.go
+++ b/messenger/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -94,7 +95,7 @@
 				f.writeInEra(reader, in(2), false)
 				f.run(time.Second)
 				f.writeInEra(reader, in(3), true)
-				rest := append(f.nodes[:size-1:size-1], fresh)
+				rest := slices.Concat(f.nodes[:size-1], []*node{fresh})
 				c.Logf("taken back on all in contact: %v", f.timeUntil(false, rest))
 				c.Assert(lone.evacuated, qt.IsTrue)
 				f.isCut = func(*node, *node) bool { return false }
