Confine routes and customers to their homes

Cause: operators confine routes, or customers, to regions. The configuration was decoded without homes, and every upstream of a service took its flows. Change: package confiner says whether a data centre may serve a route; tagger asks it wherever it chooses an upstream for a first packet, and resets a flow at once (reason "confined") if no upstream is left and the records are current. Ruled out: passing first packets to a balancer in a home, which no rule asks for. Routes without homes are served as before; the check then is two lengths.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"example.org/rattanwood"
+	"example.org/rattanwood/confiner"
 	"example.org/rattanwood/copier"
 	"example.org/rattanwood/detector"
 	"example.org/rattanwood/internal/dialer"
@@ -149,6 +150,7 @@
 	taggerConfig := tagger.DefaultConfig()
 	taggerConfig.DataCentre = rattanwood.DataCentre(set.DataCentre)
 	taggerConfig.Random, taggerConfig.Placer, taggerConfig.Prober = random, n.placer, n.prober
+	taggerConfig.Confiner = newConfiner(set)
 	n.tagger = tagger.New(taggerConfig)
 	if err := n.listen(); err != nil {
 		n.close()
@@ -157,6 +159,18 @@
 	return n, nil
 }
 
+// newConfiner returns a confiner that knows the regions in the settings.
+func newConfiner(set settings.Settings) confiner.Confiner {
+	cfg := confiner.Config{
+		DataCentre: rattanwood.DataCentre(set.DataCentre), Region: rattanwood.Region(set.Region),
+		Regions: make(map[rattanwood.DataCentre]rattanwood.Region, len(set.Regions)),
+	}
+	for centre, region := range set.Regions {
+		cfg.Regions[rattanwood.DataCentre(centre)] = rattanwood.Region(region)
+	}
+	return confiner.New(cfg)
+}
+
 // seedName returns the name under which the balancer at a bootstrap address is listed until its own name is
 // known.
 func seedName(address netip.AddrPort) rattanwood.VMID {
--- a/source.go
+++ b/source.go
@@ -120,8 +120,9 @@
 	Shares []Share
 	// Class describes the requests that the route's flows carry.
 	Class Class
-	// Homes are the regions whose upstreams and balancers may serve the route; empty means all.
-	Homes []Region
+	// Homes are the regions whose upstreams and balancers may serve the route, and CustomerHomes those that may
+	// serve the route's customer; empty means all. Where both have elements, only regions in both may.
+	Homes, CustomerHomes []Region
 }
 
 // Class describes a kind of requests as far as it matters for who is served first.
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -37,7 +37,7 @@
 	r := t.recentFlows[keyOf(s)]
 	if r != nil && r.opening {
 		t.cfg.Prober.ReportSuspicion(r.upstream)
-		if u := t.upstreams[r.upstream]; u != nil && !t.cfg.Prober.ShouldAvoid(now, r.upstream) {
+		if u := t.upstreams[r.upstream]; u != nil && t.allowed(now, route, u) && !t.cfg.Prober.ShouldAvoid(now, r.upstream) {
 			r.lastSeen = now
 			return forward(now, u, Retransmitted)
 		}
@@ -45,7 +45,7 @@
 	}
 	u := t.chooseUpstream(now, route)
 	if u == nil {
-		return t.resetIfCurrent(now, NoUpstream)
+		return t.resetIfCurrent(now, t.emptyReason(now, route))
 	}
 	t.cfg.Placer.AddFlow(now, u.id, t.expectedRequests(s.Target))
 	t.rememberFlow(now, s, u.id, packet)
--- a/tagger/place.go
+++ b/tagger/place.go
@@ -9,7 +9,7 @@
 
 // chooseUpstream returns the upstream for a new flow, or nil if there is none.
 func (t *Tagger) chooseUpstream(now time.Duration, route *rattanwood.Route) *upstream {
-	pool := t.eligibleUpstreams(now, t.drawService(route))
+	pool := t.eligibleUpstreams(now, route, t.drawService(route))
 	candidates := make([]placer.Candidate, len(pool))
 	for i, u := range pool {
 		candidates[i] = placer.Candidate{ID: u.id, Capacity: u.capacity(now), Local: u.DataCentre == t.cfg.DataCentre}
@@ -36,13 +36,14 @@
 	return route.Shares[0].Service
 }
 
-// eligibleUpstreams returns the upstreams of a service that a new flow may go to: the healthy ones,
-// else those that fail their checks, else those whose registration lapsed lately. Any of them is
-// better than refusing the flow.
-func (t *Tagger) eligibleUpstreams(now time.Duration, service rattanwood.ServiceID) []*upstream {
+// eligibleUpstreams returns the upstreams of a service that a new flow of a route may go to: of those
+// that are allowed the healthy ones, else those that fail their checks, else those whose registration
+// lapsed lately. Any of them is better than refusing the flow.
+func (t *Tagger) eligibleUpstreams(now time.Duration, route *rattanwood.Route, service rattanwood.ServiceID) []*upstream {
 	var ready, failing, lapsed []*upstream
 	for _, u := range t.upstreamsOf(service) {
 		switch {
+		case !t.allowed(now, route, u):
 		case u.registered && u.Draining:
 			// Not even as a last resort: it shuts down before the flow ends.
 		case u.registered && t.cfg.Prober.ShouldAvoid(now, u.id):
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"example.org/rattanwood"
+	"example.org/rattanwood/confiner"
 	"example.org/rattanwood/placer"
 	"example.org/rattanwood/prober"
 )
@@ -52,6 +53,8 @@
 	NoRoute
 	// NoUpstream means that the service has no upstream that may take the flow.
 	NoUpstream
+	// Confined means that the service has upstreams, but none in a region that may serve the route.
+	Confined
 	// UnknownTag means that the tag belongs to no upstream that is known here.
 	UnknownTag
 	// UpstreamDead means that the upstream is proved not to answer, or its address belongs to
@@ -73,7 +76,7 @@
 // String returns the name of the reason.
 func (r Reason) String() string {
 	return [...]string{
-		"tagged", "placed", "repeated", "moved", "unbound", "empty", "unknown", "dead", "untagged", "forged", "stale", "waking",
+		"tagged", "placed", "repeated", "moved", "unbound", "empty", "confined", "unknown", "dead", "untagged", "forged", "stale", "waking",
 	}[r]
 }
 
@@ -121,6 +124,8 @@
 	Random         *rand.Rand
 	Placer         *placer.Placer
 	Prober         *prober.Prober
+	// Confiner tells which data centres may serve a route that has homes.
+	Confiner confiner.Confiner
 }
 
 // DefaultConfig returns the settings that the daemon uses.
--- a/tagger/tagger_test.go
+++ b/tagger/tagger_test.go
@@ -26,12 +26,13 @@
 	*tagger.Tagger
 	prober *prober.Prober
 	placer *placer.Placer
+	random *rand.Rand
 	now    time.Duration
 }
 
 func newFixture() *fixture {
 	random := rand.New(rand.NewPCG(1, 2))
-	f := &fixture{prober: prober.New(prober.DefaultConfig()), placer: placer.New(placer.DefaultConfig(random)), now: time.Second}
+	f := &fixture{prober: prober.New(prober.DefaultConfig()), placer: placer.New(placer.DefaultConfig(random)), random: random, now: time.Second}
 	cfg := tagger.DefaultConfig()
 	cfg.DataCentre, cfg.Random, cfg.Placer, cfg.Prober = "east", random, f.placer, f.prober
 	f.Tagger = tagger.New(cfg)
