--- a/tagger/allow.go
+++ b/tagger/allow.go
@@ -11,8 +11,8 @@
 	return t.cfg.Confiner.Allows(route, u.DataCentre)
 }
 
-// emptyReason returns why there is no upstream for a new flow of a route.
-func (t *Tagger) emptyReason(now time.Duration, route *rattanwood.Route) Reason {
+// refusalReason returns why there is no upstream for a new flow of a route.
+func (t *Tagger) refusalReason(now time.Duration, route *rattanwood.Route) Reason {
 	for _, share := range route.Shares {
 		for _, u := range t.upstreamsOf(share.Service) {
 			if u.registered && !u.Draining && !t.allowed(now, route, u) {
