Show which of the operators' requests are in force, and where

Cause: operators write documents and evacuations to the source and could only compare the dumps of all balancers by hand to learn whether these follow them. Change: `rattanctl status ADDRESS` asks a balancer and all that it knows (package surveyor: 32 at a time, 3 s each, without upstreams and flows) and prints each request with the number of balancers on which it is in force, since when, the oldest records, who didn't answer and why; it fails unless all is in force everywhere. The console has it as the page Status. The dump gets the time since the version came into force, the newest 16 undecodable records that haven't been replaced, and the rows of evacuations, which stay empty until evacuations are merged. The state's new parameter `upstreams` leaves out the upstreams: 47,000 rows a balancer. RecordError names the kind of the record; rattanwood_records_invalid counts them.

--- a/design/console.go
+++ b/design/console.go
@@ -19,6 +19,22 @@
 			})
 		})
 	})
+	Method("status", func() {
+		Description("Shows which of the operators' requests are in force on the balancers.")
+		Result(func() {
+			Attribute("type", String)
+			Required("type")
+		})
+		Error("missing", ErrorResult)
+		HTTP(func() {
+			GET("/status")
+			SkipResponseBodyEncodeDecode()
+			Response(StatusOK, func() {
+				Header("type:Content-Type")
+			})
+			Response("missing", StatusNotFound)
+		})
+	})
 	Method("form", func() {
 		Payload(func() {
 			Attribute("name", String, func() { MaxLength(32) })
--- a/design/design.go
+++ b/design/design.go
@@ -106,11 +106,15 @@
 				Minimum(0)
 				Maximum(100000)
 			})
+			Attribute("upstreams", Boolean, "Whether to list the upstreams", func() {
+				Default(true)
+			})
 		})
 		Result(Any)
 		HTTP(func() {
 			GET("/state")
 			Param("rows")
+			Param("upstreams")
 			Response(StatusOK)
 		})
 	})
--- a/gen/console/client.go
+++ b/gen/console/client.go
@@ -17,14 +17,16 @@
 // Client is the "console" service client.
 type Client struct {
 	PageEndpoint   goa.Endpoint
+	StatusEndpoint goa.Endpoint
 	FormEndpoint   goa.Endpoint
 	SubmitEndpoint goa.Endpoint
 }
 
 // NewClient initializes a "console" service client given the endpoints.
-func NewClient(page, form, submit goa.Endpoint) *Client {
+func NewClient(page, status, form, submit goa.Endpoint) *Client {
 	return &Client{
 		PageEndpoint:   page,
+		StatusEndpoint: status,
 		FormEndpoint:   form,
 		SubmitEndpoint: submit,
 	}
@@ -41,6 +43,20 @@
 	return o.Result, o.Body, nil
 }
 
+// Status calls the "status" endpoint of the "console" service.
+// Status may return the following errors:
+//   - "missing" (type *goa.ServiceError)
+//   - error: internal error
+func (c *Client) Status(ctx context.Context) (res *StatusResult, resp io.ReadCloser, err error) {
+	var ires any
+	ires, err = c.StatusEndpoint(ctx, nil)
+	if err != nil {
+		return
+	}
+	o := ires.(*StatusResponseData)
+	return o.Result, o.Body, nil
+}
+
 // Form calls the "form" endpoint of the "console" service.
 // Form may return the following errors:
 //   - "missing" (type *goa.ServiceError)
--- a/gen/console/endpoints.go
+++ b/gen/console/endpoints.go
@@ -17,6 +17,7 @@
 // Endpoints wraps the "console" service endpoints.
 type Endpoints struct {
 	Page   goa.Endpoint
+	Status goa.Endpoint
 	Form   goa.Endpoint
 	Submit goa.Endpoint
 }
@@ -30,6 +31,15 @@
 	Body io.ReadCloser
 }
 
+// StatusResponseData holds both the result and the HTTP response body reader
+// of the "status" method.
+type StatusResponseData struct {
+	// Result is the method result.
+	Result *StatusResult
+	// Body streams the HTTP response body.
+	Body io.ReadCloser
+}
+
 // FormResponseData holds both the result and the HTTP response body reader of
 // the "form" method.
 type FormResponseData struct {
@@ -61,6 +71,7 @@
 func NewEndpoints(s Service) *Endpoints {
 	return &Endpoints{
 		Page:   NewPageEndpoint(s),
+		Status: NewStatusEndpoint(s),
 		Form:   NewFormEndpoint(s),
 		Submit: NewSubmitEndpoint(s),
 	}
@@ -69,6 +80,7 @@
 // Use applies the given middleware to all the "console" service endpoints.
 func (e *Endpoints) Use(m func(goa.Endpoint) goa.Endpoint) {
 	e.Page = m(e.Page)
+	e.Status = m(e.Status)
 	e.Form = m(e.Form)
 	e.Submit = m(e.Submit)
 }
@@ -85,6 +97,18 @@
 	}
 }
 
+// NewStatusEndpoint returns an endpoint function that calls the method
+// "status" of service "console".
+func NewStatusEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		res, body, err := s.Status(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return &StatusResponseData{Result: res, Body: body}, nil
+	}
+}
+
 // NewFormEndpoint returns an endpoint function that calls the method "form" of
 // service "console".
 func NewFormEndpoint(s Service) goa.Endpoint {
--- a/gen/console/service.go
+++ b/gen/console/service.go
@@ -22,6 +22,12 @@
 	// Consider [goa.design/goa/v3/pkg.SkipResponseWriter] to adapt existing
 	// implementations.
 	Page(context.Context) (res *PageResult, body io.ReadCloser, err error)
+	// Shows which of the operators' requests are in force on the balancers.
+
+	// If body implements [io.WriterTo], that implementation will be used instead.
+	// Consider [goa.design/goa/v3/pkg.SkipResponseWriter] to adapt existing
+	// implementations.
+	Status(context.Context) (res *StatusResult, body io.ReadCloser, err error)
 	// Form implements form.
 
 	// If body implements [io.WriterTo], that implementation will be used instead.
@@ -50,7 +56,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [3]string{"page", "form", "submit"}
+var MethodNames = [4]string{"page", "status", "form", "submit"}
 
 // FormPayload is the payload type of the console service form method.
 type FormPayload struct {
@@ -67,6 +73,11 @@
 	Type string
 }
 
+// StatusResult is the result type of the console service status method.
+type StatusResult struct {
+	Type string
+}
+
 // SubmitPayload is the payload type of the console service submit method.
 type SubmitPayload struct {
 	Name string
--- a/gen/http/console/client/client.go
+++ b/gen/http/console/client/client.go
@@ -21,6 +21,9 @@
 	// Page Doer is the HTTP client used to make requests to the page endpoint.
 	PageDoer goahttp.Doer
 
+	// Status Doer is the HTTP client used to make requests to the status endpoint.
+	StatusDoer goahttp.Doer
+
 	// Form Doer is the HTTP client used to make requests to the form endpoint.
 	FormDoer goahttp.Doer
 
@@ -48,6 +51,7 @@
 ) *Client {
 	return &Client{
 		PageDoer:            doer,
+		StatusDoer:          doer,
 		FormDoer:            doer,
 		SubmitDoer:          doer,
 		RestoreResponseBody: restoreBody,
@@ -82,6 +86,30 @@
 	}
 }
 
+// Status returns an endpoint that makes HTTP requests to the console service
+// status server.
+func (c *Client) Status() goa.Endpoint {
+	var (
+		decodeResponse = DecodeStatusResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildStatusRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.StatusDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("console", "status", err)
+		}
+		res, err := decodeResponse(resp)
+		if err != nil {
+			resp.Body.Close()
+			return nil, err
+		}
+		return &console.StatusResponseData{Result: res.(*console.StatusResult), Body: resp.Body}, nil
+	}
+}
+
 // Form returns an endpoint that makes HTTP requests to the console service
 // form server.
 func (c *Client) Form() goa.Endpoint {
--- a/gen/http/console/client/encode_decode.go
+++ b/gen/http/console/client/encode_decode.go
@@ -73,6 +73,76 @@
 	}
 }
 
+// BuildStatusRequest instantiates a HTTP request object with method and path
+// set to call the "console" service "status" endpoint
+func (c *Client) BuildStatusRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: StatusConsolePath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("console", "status", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// DecodeStatusResponse returns a decoder for responses returned by the console
+// status endpoint. restoreBody controls whether the response body should be
+// restored after having been read.
+// DecodeStatusResponse may return the following errors:
+//   - "missing" (type *goa.ServiceError): http.StatusNotFound
+//   - error: internal error
+func DecodeStatusResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				type_ string
+				err   error
+			)
+			type_Raw := resp.Header.Get("Content-Type")
+			if type_Raw == "" {
+				err = goa.MergeErrors(err, goa.MissingFieldError("type", "header"))
+			}
+			type_ = type_Raw
+			if err != nil {
+				return nil, goahttp.ErrValidationError("console", "status", err)
+			}
+			res := NewStatusResultOK(type_)
+			return res, nil
+		case http.StatusNotFound:
+			var (
+				body StatusMissingResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("console", "status", err)
+			}
+			err = ValidateStatusMissingResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("console", "status", err)
+			}
+			return nil, NewStatusMissing(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("console", "status", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildFormRequest instantiates a HTTP request object with method and path set
 // to call the "console" service "form" endpoint
 func (c *Client) BuildFormRequest(ctx context.Context, v any) (*http.Request, error) {
--- a/gen/http/console/client/types.go
+++ b/gen/http/console/client/types.go
@@ -12,6 +12,24 @@
 	goa "goa.design/goa/v3/pkg"
 )
 
+// StatusMissingResponseBody is the type of the "console" service "status"
+// endpoint HTTP response body for the "missing" error.
+type StatusMissingResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
 // FormMissingResponseBody is the type of the "console" service "form" endpoint
 // HTTP response body for the "missing" error.
 type FormMissingResponseBody struct {
@@ -57,6 +75,29 @@
 	return v
 }
 
+// NewStatusResultOK builds a "console" service "status" endpoint result from a
+// HTTP "OK" response.
+func NewStatusResultOK(type_ string) *console.StatusResult {
+	v := &console.StatusResult{}
+	v.Type = type_
+
+	return v
+}
+
+// NewStatusMissing builds a console service status endpoint missing error.
+func NewStatusMissing(body *StatusMissingResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
 // NewFormResultOK builds a "console" service "form" endpoint result from a
 // HTTP "OK" response.
 func NewFormResultOK(type_ string) *console.FormResult {
@@ -103,6 +144,30 @@
 	return v
 }
 
+// ValidateStatusMissingResponseBody runs the validations defined on
+// status_missing_response_body
+func ValidateStatusMissingResponseBody(body *StatusMissingResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
 // ValidateFormMissingResponseBody runs the validations defined on
 // form_missing_response_body
 func ValidateFormMissingResponseBody(body *FormMissingResponseBody) (err error) {
--- a/gen/http/console/server/encode_decode.go
+++ b/gen/http/console/server/encode_decode.go
@@ -29,6 +29,46 @@
 	}
 }
 
+// EncodeStatusResponse returns an encoder for responses returned by the
+// console status endpoint.
+func EncodeStatusResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*console.StatusResult)
+		w.Header().Set("Content-Type", res.Type)
+		w.WriteHeader(http.StatusOK)
+		return nil
+	}
+}
+
+// EncodeStatusError returns an encoder for errors returned by the status
+// console endpoint.
+func EncodeStatusError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "missing":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStatusMissingResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeFormResponse returns an encoder for responses returned by the console
 // form endpoint.
 func EncodeFormResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
--- a/gen/http/console/server/paths.go
+++ b/gen/http/console/server/paths.go
@@ -16,6 +16,11 @@
 	return "/"
 }
 
+// StatusConsolePath returns the URL path to the console service status HTTP endpoint.
+func StatusConsolePath() string {
+	return "/status"
+}
+
 // FormConsolePath returns the URL path to the console service form HTTP endpoint.
 func FormConsolePath(name string) string {
 	return fmt.Sprintf("/forms/%v", name)
--- a/gen/http/console/server/server.go
+++ b/gen/http/console/server/server.go
@@ -22,6 +22,7 @@
 type Server struct {
 	Mounts []*MountPoint
 	Page   http.Handler
+	Status http.Handler
 	Form   http.Handler
 	Submit http.Handler
 }
@@ -54,10 +55,12 @@
 	return &Server{
 		Mounts: []*MountPoint{
 			{"Page", "GET", "/"},
+			{"Status", "GET", "/status"},
 			{"Form", "GET", "/forms/{name}"},
 			{"Submit", "POST", "/forms/{name}"},
 		},
 		Page:   NewPageHandler(e.Page, mux, decoder, encoder, errhandler, formatter),
+		Status: NewStatusHandler(e.Status, mux, decoder, encoder, errhandler, formatter),
 		Form:   NewFormHandler(e.Form, mux, decoder, encoder, errhandler, formatter),
 		Submit: NewSubmitHandler(e.Submit, mux, decoder, encoder, errhandler, formatter),
 	}
@@ -69,6 +72,7 @@
 // Use wraps the server handlers with the given middleware.
 func (s *Server) Use(m func(http.Handler) http.Handler) {
 	s.Page = m(s.Page)
+	s.Status = m(s.Status)
 	s.Form = m(s.Form)
 	s.Submit = m(s.Submit)
 }
@@ -79,6 +83,7 @@
 // Mount configures the mux to serve the console endpoints.
 func Mount(mux goahttp.Muxer, h *Server) {
 	MountPageHandler(mux, h.Page)
+	MountStatusHandler(mux, h.Status)
 	MountFormHandler(mux, h.Form)
 	MountSubmitHandler(mux, h.Submit)
 }
@@ -169,6 +174,87 @@
 	})
 }
 
+// MountStatusHandler configures the mux to serve the "console" service
+// "status" endpoint.
+func MountStatusHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("GET", "/status", f)
+}
+
+// NewStatusHandler creates a HTTP handler which loads the HTTP request and
+// calls the "console" service "status" endpoint.
+func NewStatusHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		encodeResponse = EncodeStatusResponse(encoder)
+		encodeError    = EncodeStatusError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "status")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "console")
+		var err error
+		res, err := endpoint(ctx, nil)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		o := res.(*console.StatusResponseData)
+		defer o.Body.Close()
+		if wt, ok := o.Body.(io.WriterTo); ok {
+			if err := encodeResponse(ctx, w, o.Result); err != nil {
+				if errhandler != nil {
+					errhandler(ctx, w, err)
+				}
+				return
+			}
+			n, err := wt.WriteTo(w)
+			if err != nil {
+				if n == 0 {
+					if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+						errhandler(ctx, w, err)
+					}
+				} else {
+					http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler) // too late to write an error
+				}
+			}
+			return
+		}
+		// handle immediate read error like a returned error
+		buf := bufio.NewReader(o.Body)
+		if _, err := buf.Peek(1); err != nil && err != io.EOF {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, o.Result); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if _, err := io.Copy(w, buf); err != nil {
+			http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler) // too late to write an error
+		}
+	})
+}
+
 // MountFormHandler configures the mux to serve the "console" service "form"
 // endpoint.
 func MountFormHandler(mux goahttp.Muxer, h http.Handler) {
--- a/gen/http/console/server/types.go
+++ b/gen/http/console/server/types.go
@@ -12,6 +12,24 @@
 	goa "goa.design/goa/v3/pkg"
 )
 
+// StatusMissingResponseBody is the type of the "console" service "status"
+// endpoint HTTP response body for the "missing" error.
+type StatusMissingResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
 // FormMissingResponseBody is the type of the "console" service "form" endpoint
 // HTTP response body for the "missing" error.
 type FormMissingResponseBody struct {
@@ -48,6 +66,20 @@
 	Fault bool `form:"fault" json:"fault" xml:"fault"`
 }
 
+// NewStatusMissingResponseBody builds the HTTP response body from the result
+// of the "status" endpoint of the "console" service.
+func NewStatusMissingResponseBody(res *goa.ServiceError) *StatusMissingResponseBody {
+	body := &StatusMissingResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
 // NewFormMissingResponseBody builds the HTTP response body from the result of
 // the "form" endpoint of the "console" service.
 func NewFormMissingResponseBody(res *goa.ServiceError) *FormMissingResponseBody {
--- a/gen/http/operators/client/cli.go
+++ b/gen/http/operators/client/cli.go
@@ -17,7 +17,7 @@
 
 // BuildStatePayload builds the payload for the operators state endpoint from
 // CLI flags.
-func BuildStatePayload(operatorsStateRows string) (*operators.StatePayload, error) {
+func BuildStatePayload(operatorsStateRows string, operatorsStateUpstreams string) (*operators.StatePayload, error) {
 	var err error
 	var rows int
 	{
@@ -39,8 +39,18 @@
 			}
 		}
 	}
+	var upstreams bool
+	{
+		if operatorsStateUpstreams != "" {
+			upstreams, err = strconv.ParseBool(operatorsStateUpstreams)
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for upstreams, must be BOOL")
+			}
+		}
+	}
 	v := &operators.StatePayload{}
 	v.Rows = rows
+	v.Upstreams = upstreams
 
 	return v, nil
 }
--- a/gen/http/operators/client/encode_decode.go
+++ b/gen/http/operators/client/encode_decode.go
@@ -158,6 +158,7 @@
 		}
 		values := req.URL.Query()
 		values.Add("rows", fmt.Sprintf("%v", p.Rows))
+		values.Add("upstreams", fmt.Sprintf("%v", p.Upstreams))
 		req.URL.RawQuery = values.Encode()
 		return nil
 	}
--- a/gen/http/operators/server/encode_decode.go
+++ b/gen/http/operators/server/encode_decode.go
@@ -86,11 +86,13 @@
 	return func(r *http.Request) (*operators.StatePayload, error) {
 		var payload *operators.StatePayload
 		var (
-			rows int
-			err  error
+			rows      int
+			upstreams bool
+			err       error
 		)
+		qp := r.URL.Query()
 		{
-			rowsRaw := r.URL.Query().Get("rows")
+			rowsRaw := qp.Get("rows")
 			if rowsRaw == "" {
 				rows = 100
 			} else {
@@ -107,10 +109,22 @@
 		if rows > 100000 {
 			err = goa.MergeErrors(err, goa.InvalidRangeError("rows", rows, 100000, false))
 		}
+		{
+			upstreamsRaw := qp.Get("upstreams")
+			if upstreamsRaw == "" {
+				upstreams = true
+			} else {
+				v, err2 := strconv.ParseBool(upstreamsRaw)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("upstreams", upstreamsRaw, "boolean"))
+				}
+				upstreams = v
+			}
+		}
 		if err != nil {
 			return payload, err
 		}
-		payload = NewStatePayload(rows)
+		payload = NewStatePayload(rows, upstreams)
 
 		return payload, nil
 	}
--- a/gen/http/operators/server/types.go
+++ b/gen/http/operators/server/types.go
@@ -64,9 +64,10 @@
 }
 
 // NewStatePayload builds a operators service state endpoint payload.
-func NewStatePayload(rows int) *operators.StatePayload {
+func NewStatePayload(rows int, upstreams bool) *operators.StatePayload {
 	v := &operators.StatePayload{}
 	v.Rows = rows
+	v.Upstreams = upstreams
 
 	return v
 }
--- a/gen/operators/service.go
+++ b/gen/operators/service.go
@@ -51,6 +51,8 @@
 type StatePayload struct {
 	// Maximum number of flows to list
 	Rows int
+	// Whether to list the upstreams
+	Upstreams bool
 }
 
 // MakeUnready builds a goa.ServiceError from an error.
--- a/internal/cli/console.go
+++ b/internal/cli/console.go
@@ -28,6 +28,7 @@
 // consoleCommands defines the commands of rattanctl.
 type consoleCommands struct {
 	Serve   consoleCommand        `cmd:"" help:"Serve the web console with the forms."`
+	Status  statusCommand         `cmd:"" help:"Print which of the operators' requests are in force on the balancers; fail unless all are, everywhere."`
 	Check   documentCommand       `cmd:"" help:"Check a document."`
 	Edit    editCommand           `cmd:"" help:"Fill in a form and print the resulting document."`
 	Forms   formsCommand          `cmd:"" help:"List the forms and their fields."`
@@ -42,6 +43,7 @@
 type consoleCommand struct {
 	Listen   string `help:"IP address and port of the console." default:"127.0.0.1:8090"`
 	Platform string `help:"IP address and port of the platform." required:""`
+	Balancer string `help:"HTTP address of a balancer, whose fleet the page Status shows." placeholder:"IP:PORT"`
 }
 
 // Run serves the console until SIGTERM or SIGINT.
@@ -54,6 +56,12 @@
 	if err != nil {
 		return oops.Code("console_listen").Wrap(err)
 	}
+	cfg := console.Config{Platform: reader.New(c.Platform)}
+	if c.Balancer != "" {
+		if cfg.Balancer, err = netip.ParseAddrPort(c.Balancer); err != nil {
+			return oops.Code("console_balancer").Wrap(err)
+		}
+	}
 	lis, err := listener.TCP(address)
 	if err != nil {
 		return err
@@ -61,7 +69,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	log.Info("console started")
-	handler := console.New(console.Config{Platform: reader.New(c.Platform)}).Handler()
+	handler := console.New(cfg).Handler()
 	err = listener.ServeHTTP(ctx, lis, handler, consoleCloseTimeout)
 	return errors.Join(err, log.Sync())
 }
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -12,6 +12,7 @@
 	"html/template"
 	"io"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strings"
 	"sync"
@@ -26,6 +27,7 @@
 	"example.org/rattanwood/editor"
 	genconsole "example.org/rattanwood/gen/console"
 	consoleserver "example.org/rattanwood/gen/http/console/server"
+	"example.org/rattanwood/internal/surveyor"
 )
 
 const (
@@ -47,6 +49,8 @@
 // Config holds the parameters of a Console.
 type Config struct {
 	Platform rattanwood.Platform
+	// Balancer is the HTTP address of a balancer whose fleet the page Status shows; not valid means none.
+	Balancer netip.AddrPort
 }
 
 // Console implements the goa service for the operators' forms.
@@ -68,14 +72,17 @@
 // page is the data of the page template. Current is the document in force, and Next the one that a submitted
 // form yields; Document is the one of them that is shown, as JSON.
 type page struct {
-	Forms    []editor.Form
-	Form     *editor.Form
-	Inputs   []input
-	Problem  string
-	Current  *rattanwood.Document
-	Next     *rattanwood.Document
-	Document string
-	Diff     []line
+	Forms []editor.Form
+	// HasStatus is set if the page Status can be shown, and Status is its text.
+	HasStatus bool
+	Status    string
+	Form      *editor.Form
+	Inputs    []input
+	Problem   string
+	Current   *rattanwood.Document
+	Next      *rattanwood.Document
+	Document  string
+	Diff      []line
 }
 
 // input is a form field with the submitted value and, if that is invalid, the problem with it.
@@ -101,6 +108,33 @@
 	return &genconsole.PageResult{Type: contentType}, render(p), nil
 }
 
+// surveyTimeout limits the time to ask a whole fleet.
+const surveyTimeout = 40 * time.Second
+
+// Status shows which of the operators' requests are in force on the balancers.
+func (c *Console) Status(ctx context.Context) (*genconsole.StatusResult, io.ReadCloser, error) {
+	if !c.cfg.Balancer.IsValid() {
+		return nil, nil, genconsole.MakeMissing(errors.New("no balancer is configured"))
+	}
+	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+	defer cancel()
+	p := &page{Forms: editor.Forms(), HasStatus: true}
+	report, err := surveyor.Survey(ctx, c.cfg.Balancer)
+	if err != nil {
+		p.Problem = "The balancer can't be asked: " + err.Error()
+		return &genconsole.StatusResult{Type: contentType}, render(p), nil
+	}
+	if !report.InForce() {
+		p.Problem = "Not every request is in force on every balancer."
+	}
+	var text strings.Builder
+	if err := report.Write(&text); err != nil {
+		return nil, nil, err
+	}
+	p.Status = text.String()
+	return &genconsole.StatusResult{Type: contentType}, render(p), nil
+}
+
 // Form shows a form with its default values.
 func (c *Console) Form(ctx context.Context, in *genconsole.FormPayload) (*genconsole.FormResult, io.ReadCloser, error) {
 	f, err := editor.FindForm(in.Name)
@@ -159,7 +193,7 @@
 // loadCurrent reads the document in force into p. If none has been published yet, it starts from an empty
 // document of version 0, so that the first one gets version 1.
 func (c *Console) loadCurrent(ctx context.Context, p *page) {
-	p.Forms = editor.Forms()
+	p.Forms, p.HasStatus = editor.Forms(), c.cfg.Balancer.IsValid()
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	data, err := c.cfg.Platform.Document(ctx)
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"net/url"
 	"os"
 	"strings"
@@ -147,3 +148,35 @@
 		c.Assert(res.StatusCode, qt.Equals, status)
 	}
 }
+
+// TestStatus checks that the page Status needs a configured balancer, and says so when that doesn't answer.
+func TestStatus(t *testing.T) {
+	c := qt.New(t)
+	balancer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"vm":"vm-1","version":12,"applied":3000,"age":100}`)
+	}))
+	defer balancer.Close()
+	get := func(cfg console.Config, path string) (int, string) {
+		cfg.Platform = &platform{}
+		w := httptest.NewRecorder()
+		console.New(cfg).Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		return w.Code, w.Body.String()
+	}
+	configured := console.Config{Balancer: netip.MustParseAddrPort(balancer.Listener.Addr().String())}
+	code, body := get(configured, "/status")
+	c.Assert(code, qt.Equals, http.StatusOK)
+	c.Assert(body, qt.Contains, "document 12")
+	c.Assert(body, qt.Contains, "in force on 1 of 1")
+	c.Assert(body, qt.Not(qt.Contains), `role="alert"`)
+	_, body = get(configured, "/")
+	c.Assert(body, qt.Contains, `href="/status"`)
+
+	balancer.Close()
+	_, body = get(configured, "/status")
+	c.Assert(body, qt.Contains, "The balancer can&#39;t be asked")
+
+	code, _ = get(console.Config{}, "/status")
+	c.Assert(code, qt.Equals, http.StatusNotFound)
+	_, body = get(console.Config{}, "/")
+	c.Assert(body, qt.Not(qt.Contains), `href="/status"`)
+}
--- a/internal/node/dump.go
+++ b/internal/node/dump.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"slices"
+
 	"example.org/rattanwood"
 	"example.org/rattanwood/tagger"
 )
@@ -14,6 +16,8 @@
 	// Settling is set while records that the source lost on its return may still be in effect.
 	Settling bool               `json:"settling,omitempty"`
 	Version  rattanwood.Version `json:"version"`
+	// AppliedMillis is the time in milliseconds since Version came into force.
+	AppliedMillis int64 `json:"applied"`
 	// AgeMillis is the time in milliseconds since the records were last known to be current, or -1 if they
 	// never were.
 	AgeMillis int64 `json:"age"`
@@ -22,11 +26,14 @@
 	// IsReader is set while this balancer reads the source for the others.
 	IsReader bool `json:"reading"`
 	// SourceUnreachable is set if this balancer's last read of the source failed.
-	SourceUnreachable bool                 `json:"blind"`
-	ShuttingDown      bool                 `json:"leaving"`
-	Members           []MemberState        `json:"members"`
-	Upstreams         []tagger.UpstreamRow `json:"upstreams"`
-	Flows             []tagger.FlowRow     `json:"flows"`
+	SourceUnreachable bool          `json:"blind"`
+	ShuttingDown      bool          `json:"leaving"`
+	Members           []MemberState `json:"members"`
+	// Invalid are the newest of the records that couldn't be decoded and are still in the source.
+	Invalid     []InvalidState       `json:"invalid"`
+	Evacuations []EvacuationState    `json:"evacuations"`
+	Upstreams   []tagger.UpstreamRow `json:"upstreams"`
+	Flows       []tagger.FlowRow     `json:"flows"`
 }
 
 // MemberState describes another balancer in a State.
@@ -40,19 +47,61 @@
 	Address           string                 `json:"address"`
 }
 
-// dump returns the tables, with at most maxFlows flows.
-func (n *Node) dump(maxFlows int) *State {
+// EvacuationState describes an evacuated data centre in a State.
+type EvacuationState struct {
+	DataCentre rattanwood.DataCentre `json:"centre"`
+	// SinceMillis is the time in milliseconds since this balancer learned of the evacuation.
+	SinceMillis int64 `json:"since"`
+	// Position is the era and the revision of the record that asks for it.
+	Position string `json:"position"`
+	// Upstreams is the number of known upstreams in the data centre; zero may mean that the name is wrong.
+	Upstreams int `json:"upstreams"`
+	// Flows is the number of flows on them whose packets passed this balancer lately.
+	Flows int `json:"flows"`
+}
+
+// InvalidState describes a record that couldn't be decoded.
+type InvalidState struct {
+	Kind   rattanwood.RecordKind `json:"kind"`
+	Key    string                `json:"key"`
+	Reason string                `json:"reason"`
+	// Position is the era and the revision of the record.
+	Position string `json:"position"`
+}
+
+// maxInvalidRecords bounds the invalid records that are kept for dumps.
+const maxInvalidRecords = 16
+
+// addInvalid keeps an invalid record. The calling code must hold mu.
+func (n *Node) addInvalid(in InvalidState) {
+	if len(n.invalidRecords) == maxInvalidRecords {
+		n.invalidRecords = slices.Delete(n.invalidRecords, 0, 1)
+	}
+	n.invalidRecords = append(n.invalidRecords, in)
+}
+
+// removeInvalid forgets an invalid record that was replaced. The calling code must hold mu.
+func (n *Node) removeInvalid(key string) {
+	n.invalidRecords = slices.DeleteFunc(n.invalidRecords, func(in InvalidState) bool { return in.Key == key })
+}
+
+// dump returns the tables, with at most maxFlows flows and, if asked for, the upstreams.
+func (n *Node) dump(maxFlows int, withUpstreams bool) *State {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
 	s := &State{
 		VM: n.cfg.Settings.VM, Incarnation: uint64(n.cfg.Incarnation), Era: n.replica.Position().Era(), Revision: n.replica.Position().Revision(), Settling: n.copier.Settling(now), Version: n.tagger.Version(), AgeMillis: -1,
 		ReaderRank: n.messenger.ReaderRank(), IsReader: n.watcher.IsReader(), SourceUnreachable: n.watcher.SourceUnreachable(), ShuttingDown: n.shuttingDown.Load(),
-		Members: []MemberState{}, Upstreams: n.tagger.Upstreams(now), Flows: n.tagger.Flows(maxFlows),
+		AppliedMillis: (now - n.routingAppliedAt).Milliseconds(),
+		Members:       []MemberState{}, Invalid: append([]InvalidState{}, n.invalidRecords...), Evacuations: []EvacuationState{}, Upstreams: []tagger.UpstreamRow{}, Flows: n.tagger.Flows(maxFlows),
 	}
 	if age, ok := n.watcher.Age(now); ok {
 		s.AgeMillis = age.Milliseconds()
 	}
+	if withUpstreams {
+		s.Upstreams = n.tagger.Upstreams(now)
+	}
 	for _, m := range n.messenger.Members.Members() {
 		s.Members = append(s.Members, MemberState{
 			VM: m.VM, DataCentre: m.DataCentre, State: m.State.String(), ShuttingDown: m.Leaving, SourceUnreachable: m.PlatformUnreachable, Incarnation: m.Incarnation, Address: m.Address.String(),
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"example.org/rattanwood"
 	"example.org/rattanwood/limiter"
 	"example.org/rattanwood/tagger"
 )
@@ -27,6 +28,7 @@
 	descEra        = prometheus.NewDesc("rattanwood_source_era", "Times that the source came back from an older copy.", nil, nil)
 	descAge        = prometheus.NewDesc("rattanwood_source_age_seconds", "Time since the records were known to be current.", nil, nil)
 	descVersion    = prometheus.NewDesc("rattanwood_document_version", "Version of the routes in force.", nil, nil)
+	descInvalid    = prometheus.NewDesc("rattanwood_records_invalid", "Records of the source that can't be decoded, by kind; the newest 16 at most.", []string{"kind"}, nil)
 	descMembers    = prometheus.NewDesc("rattanwood_members", "Other balancers by state.", []string{"state"}, nil)
 	descFailing    = prometheus.NewDesc("rattanwood_upstreams_failing", "Upstreams that fail the checks.", nil, nil)
 	descLogDropped = prometheus.NewDesc("rattanwood_log_lines_dropped_total", "Log lines that found no room.", nil, nil)
@@ -100,6 +102,13 @@
 		gauge(descAge, age.Seconds())
 	}
 	gauge(descVersion, float64(n.tagger.Version()))
+	invalid := map[rattanwood.RecordKind]int{}
+	for _, in := range n.invalidRecords {
+		invalid[in.Kind]++
+	}
+	for kind, count := range invalid {
+		gauge(descInvalid, float64(count), string(kind))
+	}
 	failing, _ := n.prober.Failing()
 	gauge(descFailing, float64(len(failing)))
 	states := map[string]int{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,6 +79,10 @@
 	placer    *placer.Placer
 	// rejected counts invalid input by reason.
 	rejected map[string]uint64
+	// invalidRecords are the newest of the records that couldn't be decoded, without those that were replaced.
+	invalidRecords []InvalidState
+	// routingAppliedAt is when the present routes came into force.
+	routingAppliedAt time.Duration
 	// ready is set once the records are complete, so that new flows can be placed. copyListedAt is when they
 	// became complete, if they may come from an older copy of the source.
 	ready        bool
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -273,6 +273,7 @@
 // soon, before the next regular heartbeat. The calling code must hold mu.
 func (n *Node) applyRecord(now time.Duration, from string, r rattanwood.Record) (urgent bool) {
 	instance, isUpstream := n.cfg.Interpreter.Instance(r.Key)
+	n.removeInvalid(r.Key)
 	if r.Deleted {
 		if isUpstream {
 			n.tagger.RemoveRegistration(now, instance)
@@ -283,11 +284,12 @@
 	entity, err := n.cfg.Interpreter.Interpret(r)
 	if err != nil {
 		var bad *rattanwood.RecordError
-		reason := "unknown"
+		reason, kind := "unknown", rattanwood.OtherRecord
 		if errors.As(err, &bad) {
-			reason = bad.Reason
+			reason, kind = bad.Reason, bad.Kind
 		}
 		n.rejected["record_"+reason]++
+		n.addInvalid(InvalidState{Kind: kind, Key: r.Key, Reason: reason, Position: r.Position.String()})
 		n.log.Warn("invalid record rejected", zap.String(logger.KeyPeer, from), zap.Inline(logger.Position(r.Position)), zap.String(logger.KeyError, err.Error()))
 		if isUpstream {
 			// The record has replaced the registration, so the upstream can no longer be used.
@@ -298,6 +300,7 @@
 	switch e := entity.(type) {
 	case *rattanwood.Routing:
 		if n.tagger.SetRouting(e) {
+			n.routingAppliedAt = now
 			n.logChange("routing configuration applied", from, r, zap.Uint64(logger.KeyVersion, uint64(e.Version)), zap.Int("routes", len(e.Routes)), zap.Int("invalid", e.InvalidRoutes))
 		}
 	case *rattanwood.Registration:
--- a/internal/node/web.go
+++ b/internal/node/web.go
@@ -74,7 +74,7 @@
 	return r, nil
 }
 
-// State returns a dump of the tables.
+// State returns a dump of the tables as far as it is asked for.
 func (o *operators) State(_ context.Context, p *genoperators.StatePayload) (any, error) {
-	return o.node.dump(p.Rows), nil
+	return o.node.dump(p.Rows, p.Upstreams), nil
 }
--- a/source.go
+++ b/source.go
@@ -257,9 +257,22 @@
 	return fmt.Sprintf("source no longer has the changes after position %s", e.After)
 }
 
+// RecordKind is what a record's key names. It can be a metric label.
+type RecordKind string
+
+// Kinds of records.
+const (
+	RoutingRecord    RecordKind = "routing"
+	UpstreamRecord   RecordKind = "upstream"
+	EvacuationRecord RecordKind = "evacuation"
+	// OtherRecord is one that means nothing here.
+	OtherRecord RecordKind = "other"
+)
+
 // RecordError reports a record that can't be decoded.
 type RecordError struct {
 	Key    string
+	Kind   RecordKind
 	Reason string
 	Cause  error
 }
