--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -28,7 +28,7 @@
 	f.c.Helper()
 	for _, i := range nodes {
 		f.eventually("evacuations in force", func() bool {
-			rows := f.state(i).Evacuated
+			rows := f.state(i).Evacuations
 			if len(rows) != len(centres) {
 				return false
 			}
@@ -66,7 +66,7 @@
 		f.opensOnlyOn(i, 1, 100)
 		f.send(i, packet(7, "198.18.0.1:443", flagAck, tag(0), 2))
 		c.Assert(f.receivedBy(), qt.Equals, 0, qt.Commentf("an open flow stays"))
-		row := f.state(i).Evacuated[0]
+		row := f.state(i).Evacuations[0]
 		c.Assert(row.Upstreams, qt.Equals, 1)
 		c.Assert(row.Flows, qt.Equals, 1)
 		c.Assert(f.logs[i].linesWith("data centre evacuated"), qt.HasLen, 1)
@@ -134,10 +134,10 @@
 		f.opensOnlyOn(i, 1, 100)
 		c.Assert(f.state(i).Settling, qt.IsFalse)
 		f.eventually("an address without a route is refused", func() bool { return f.open(i, 300, "198.18.0.9:443") == -1 })
-		c.Assert(f.state(i).Evacuated[0].Position, qt.Matches, "0/.*", qt.Commentf("operators see that the source lacks it"))
+		c.Assert(f.state(i).Evacuations[0].Position, qt.Matches, "0/.*", qt.Commentf("operators see that the source lacks it"))
 	}
 	f.src.write(evacuateWest, "{}")
-	f.eventually("the request is known anew", func() bool { return f.state(2).Evacuated[0].Position == f.state(0).Evacuated[0].Position })
+	f.eventually("the request is known anew", func() bool { return f.state(2).Evacuations[0].Position == f.state(0).Evacuations[0].Position })
 	f.src.write(evacuateWest, "")
 	f.eventuallyEvacuated(all)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"example.org/rattanwood"
+	"example.org/rattanwood/confiner"
 	"example.org/rattanwood/copier"
 	"example.org/rattanwood/detector"
 	"example.org/rattanwood/evacuator"
@@ -80,6 +81,10 @@
 	placer    *placer.Placer
 	// rejected counts invalid input by reason.
 	rejected map[string]uint64
+	// invalidRecords are the newest of the records that couldn't be decoded, without those that were replaced.
+	invalidRecords []InvalidState
+	// routingAppliedAt is when the present routes came into force.
+	routingAppliedAt time.Duration
 	// ready is set once the records are complete, so that new flows can be placed. copyListedAt is when they
 	// became complete, if they may come from an older copy of the source.
 	ready        bool
@@ -151,7 +156,8 @@
 	n.placer = placer.New(placerConfig)
 	taggerConfig := tagger.DefaultConfig()
 	taggerConfig.DataCentre = rattanwood.DataCentre(set.DataCentre)
-	taggerConfig.Random, taggerConfig.Placer, taggerConfig.Prober, taggerConfig.Evacuator = random, n.placer, n.prober, n.evacuator
+	taggerConfig.Random, taggerConfig.Placer, taggerConfig.Prober = random, n.placer, n.prober
+	taggerConfig.Evacuator, taggerConfig.Confiner = n.evacuator, newConfiner(set)
 	n.tagger = tagger.New(taggerConfig)
 	if err := n.listen(); err != nil {
 		n.close()
@@ -160,6 +166,18 @@
 	return n, nil
 }
 
+// newConfiner returns a confiner that knows the regions in the settings.
+func newConfiner(set settings.Settings) confiner.Confiner {
+	cfg := confiner.Config{
+		DataCentre: rattanwood.DataCentre(set.DataCentre), Region: rattanwood.Region(set.Region),
+		Regions: make(map[rattanwood.DataCentre]rattanwood.Region, len(set.Regions)),
+	}
+	for centre, region := range set.Regions {
+		cfg.Regions[rattanwood.DataCentre(centre)] = rattanwood.Region(region)
+	}
+	return confiner.New(cfg)
+}
+
 // seedName returns the name under which the balancer at a bootstrap address is listed until its own name is
 // known.
 func seedName(address netip.AddrPort) rattanwood.VMID {
--- a/source.go
+++ b/source.go
@@ -121,8 +121,9 @@
 	Shares []Share
 	// Class describes the requests that the route's flows carry.
 	Class Class
-	// Homes are the regions whose upstreams and balancers may serve the route; empty means all.
-	Homes []Region
+	// Homes are the regions whose upstreams and balancers may serve the route, and CustomerHomes those that may
+	// serve the route's customer; empty means all. Where both have elements, only regions in both may.
+	Homes, CustomerHomes []Region
 }
 
 // Class describes a kind of requests as far as it matters for who is served first.
@@ -257,9 +258,22 @@
 	return fmt.Sprintf("source no longer has the changes after position %s", e.After)
 }
 
+// RecordKind is what a record's key names. It can be a metric label.
+type RecordKind string
+
+// Kinds of records.
+const (
+	RoutingRecord    RecordKind = "routing"
+	UpstreamRecord   RecordKind = "upstream"
+	EvacuationRecord RecordKind = "evacuation"
+	// OtherRecord is one that means nothing here.
+	OtherRecord RecordKind = "other"
+)
+
 // RecordError reports a record that can't be decoded.
 type RecordError struct {
 	Key    string
+	Kind   RecordKind
 	Reason string
 	Cause  error
 }
--- a/tagger/place.go
+++ b/tagger/place.go
@@ -36,9 +36,9 @@
 	return route.Shares[0].Service
 }
 
-// eligibleUpstreams returns the upstreams of a service that a new flow of a route may go to: the healthy ones,
-// else those that fail their checks, else those whose registration lapsed lately. Any of them is
-// better than refusing the flow.
+// eligibleUpstreams returns the upstreams of a service that a new flow of a route may go to: of those
+// that are allowed the healthy ones, else those that fail their checks, else those whose registration
+// lapsed lately. Any of them is better than refusing the flow.
 func (t *Tagger) eligibleUpstreams(now time.Duration, route *rattanwood.Route, service rattanwood.ServiceID) []*upstream {
 	var ready, failing, lapsed []*upstream
 	for _, u := range t.upstreamsOf(service) {
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"example.org/rattanwood"
+	"example.org/rattanwood/confiner"
 	"example.org/rattanwood/evacuator"
 	"example.org/rattanwood/placer"
 	"example.org/rattanwood/prober"
@@ -53,6 +54,8 @@
 	NoRoute
 	// NoUpstream means that the service has no upstream that may take the flow.
 	NoUpstream
+	// Confined means that the service has upstreams, but none in a region that may serve the route.
+	Confined
 	// UnknownTag means that the tag belongs to no upstream that is known here.
 	UnknownTag
 	// UpstreamDead means that the upstream is proved not to answer, or its address belongs to
@@ -76,7 +79,7 @@
 // String returns the name of the reason.
 func (r Reason) String() string {
 	return [...]string{
-		"tagged", "placed", "repeated", "moved", "unbound", "empty", "unknown", "dead", "untagged", "forged", "stale", "waking", "evacuated",
+		"tagged", "placed", "repeated", "moved", "unbound", "empty", "confined", "unknown", "dead", "untagged", "forged", "stale", "waking", "evacuated",
 	}[r]
 }
 
@@ -124,8 +127,10 @@
 	Random         *rand.Rand
 	Placer         *placer.Placer
 	Prober         *prober.Prober
-	// Evacuator may be nil if no data centre is ever evacuated.
+	// Evacuator knows the evacuated data centres.
 	Evacuator *evacuator.Evacuator
+	// Confiner tells which data centres may serve a route that has homes.
+	Confiner confiner.Confiner
 }
 
 // DefaultConfig returns the settings that the daemon uses.
--- a/tagger/tagger_test.go
+++ b/tagger/tagger_test.go
@@ -28,12 +28,13 @@
 	prober    *prober.Prober
 	evacuator *evacuator.Evacuator
 	placer    *placer.Placer
+	random    *rand.Rand
 	now       time.Duration
 }
 
 func newFixture() *fixture {
 	random := rand.New(rand.NewPCG(1, 2))
-	f := &fixture{evacuator: evacuator.New(), prober: prober.New(prober.DefaultConfig()), placer: placer.New(placer.DefaultConfig(random)), now: time.Second}
+	f := &fixture{evacuator: evacuator.New(), prober: prober.New(prober.DefaultConfig()), placer: placer.New(placer.DefaultConfig(random)), random: random, now: time.Second}
 	cfg := tagger.DefaultConfig()
 	cfg.DataCentre, cfg.Random, cfg.Placer, cfg.Prober, cfg.Evacuator = "east", random, f.placer, f.prober, f.evacuator
 	f.Tagger = tagger.New(cfg)
