Send a repeated first packet elsewhere when the upstream is silent

Ruled out: weighing silence as failures (where most upstreams fail, the placer takes failures for usual), and moving every repeated packet (a slow path would open flows at two upstreams). Now a repeated packet moves when a flow that was placed later has been answered, and the upstream gets no new flows for a second or until it answers.

--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -34,16 +34,22 @@
 		return t.resetIfCurrent(now, NoRoute)
 	}
 	reason := Placed
+	var except rattanwood.UpstreamID
 	r := t.recentFlows[keyOf(s)]
 	if r != nil && r.opening {
 		t.cfg.Prober.ReportSuspicion(r.upstream)
-		if u := t.upstreams[r.upstream]; u != nil && !t.cfg.Prober.ShouldAvoid(now, r.upstream) && t.allowed(now, route, u) {
+		silent := t.isSilent(r)
+		u := t.upstreams[r.upstream]
+		if u != nil && !silent && !t.cfg.Prober.ShouldAvoid(now, r.upstream) && t.allowed(now, route, u) {
 			r.lastSeen = now
 			return forward(now, u, Retransmitted)
 		}
-		reason = Reassigned
+		if u != nil && silent {
+			u.silentAt = now
+		}
+		reason, except = Reassigned, r.upstream
 	}
-	u := t.chooseUpstream(now, route)
+	u := t.chooseUpstream(now, route, except)
 	if u == nil {
 		return t.resetIfCurrent(now, t.refusalReason(route))
 	}
--- a/tagger/place.go
+++ b/tagger/place.go
@@ -1,15 +1,20 @@
 package tagger
 
 import (
+	"slices"
 	"time"
 
 	"example.org/rattanwood"
 	"example.org/rattanwood/placer"
 )
 
-// chooseUpstream returns the upstream for a new flow, or nil if there is none.
-func (t *Tagger) chooseUpstream(now time.Duration, route *rattanwood.Route) *upstream {
+// chooseUpstream returns the upstream for a new flow, or nil if there is none. It returns the upstream except,
+// which may be zero, only if there is no other.
+func (t *Tagger) chooseUpstream(now time.Duration, route *rattanwood.Route, except rattanwood.UpstreamID) *upstream {
 	pool := t.eligibleUpstreams(now, route, t.drawService(route))
+	if len(pool) > 1 {
+		pool = slices.DeleteFunc(pool, func(u *upstream) bool { return u.id == except })
+	}
 	candidates := make([]placer.Candidate, len(pool))
 	for i, u := range pool {
 		candidates[i] = placer.Candidate{ID: u.id, Capacity: u.capacity(now), Local: u.DataCentre == t.cfg.DataCentre}
@@ -37,8 +42,8 @@
 }
 
 // eligibleUpstreams returns the upstreams of a service that a new flow of a route may go to: of those
-// that are allowed the healthy ones, else those that fail their checks, else those whose registration
-// lapsed lately. Any of them is better than refusing the flow.
+// that are allowed the healthy ones, else those that fail their checks or are silent, else those whose
+// registration lapsed lately. Any of them is better than refusing the flow.
 func (t *Tagger) eligibleUpstreams(now time.Duration, route *rattanwood.Route, service rattanwood.ServiceID) []*upstream {
 	var ready, failing, lapsed []*upstream
 	for _, u := range t.upstreamsOf(service) {
@@ -46,7 +51,7 @@
 		case !t.allowed(now, route, u):
 		case u.registered && u.Draining:
 			// Not even as a last resort: it shuts down before the flow ends.
-		case u.registered && t.cfg.Prober.ShouldAvoid(now, u.id):
+		case u.registered && (t.cfg.Prober.ShouldAvoid(now, u.id) || u.isSilent(now)):
 			failing = append(failing, u)
 		case u.registered:
 			ready = append(ready, u)
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -24,6 +24,8 @@
 	segment rattanwood.Segment
 	// packet holds the bytes of the first packet while the flow is opening.
 	packet []byte
+	// placedAt is when the flow's first packet was forwarded to upstream.
+	placedAt time.Duration
 	// lastSeen is the time of the newest packet.
 	lastSeen time.Duration
 	// stage is that of the last request, requestAck its acknowledgement number, and latestAck the
@@ -40,9 +42,13 @@
 	if len(t.recentFlows) >= t.cfg.MaxRecentFlows {
 		return
 	}
-	t.recentFlows[keyOf(s)] = &recentFlow{upstream: id, opening: true, opened: true, segment: s, packet: bytes.Clone(packet), lastSeen: now}
+	t.recentFlows[keyOf(s)] = &recentFlow{upstream: id, opening: true, opened: true, segment: s, packet: bytes.Clone(packet), placedAt: now, lastSeen: now}
 }
 
+// isSilent reports whether the upstream of an opening flow whose Caller repeats its first packet has most likely not
+// answered it: a flow that was placed later has been answered in the meantime, so that the path isn't just slow.
+func (t *Tagger) isSilent(r *recentFlow) bool { return t.answeredPlacedAt > r.placedAt }
+
 // observePacket counts a flow's requests and reports a retransmission to the prober, since the
 // upstream may be dead.
 func (t *Tagger) observePacket(now time.Duration, s rattanwood.Segment) {
@@ -55,6 +61,12 @@
 		r = &recentFlow{upstream: s.Tag, segment: rattanwood.Segment{Caller: s.Caller, Target: s.Target, Flags: s.Flags}}
 		t.recentFlows[key] = r
 	}
+	if r.opening {
+		t.answeredPlacedAt = max(t.answeredPlacedAt, r.placedAt)
+		if u := t.upstreams[s.Tag]; u != nil {
+			u.silentAt = 0
+		}
+	}
 	t.trackRequest(now, key, r, s)
 	r.opening, r.packet, r.lastSeen, r.segment.Ack = false, nil, now, s.Ack
 	switch {
@@ -83,12 +95,12 @@
 		if route == nil {
 			continue
 		}
-		u := t.chooseUpstream(now, route)
+		u := t.chooseUpstream(now, route, id)
 		if u == nil || u.id == id {
 			continue
 		}
 		t.cfg.Placer.AddFlow(now, u.id, t.expectedRequests(r.segment.Target))
-		r.upstream = u.id
+		r.upstream, r.placedAt = u.id, now
 		t.counts[Forward][Reassigned]++
 		out = append(out, OutgoingPacket{Verdict: forward(now, u, Reassigned), Segment: r.segment, Packet: r.packet})
 	}
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -48,7 +48,7 @@
 	// Retransmitted packets are retransmissions of a first packet and go to the upstream chosen for it.
 	Retransmitted
 	// Reassigned packets are first packets that go to another upstream, since the one chosen before
-	// doesn't answer or is in a data centre that has been evacuated.
+	// hasn't answered or is in a data centre that has been evacuated.
 	Reassigned
 	// NoRoute means that the packet's address has no route.
 	NoRoute
@@ -170,6 +170,16 @@
 	// lastUsed is when a packet was last forwarded to it; everUsed is true if there was one.
 	lastUsed time.Duration
 	everUsed bool
+	// silentAt is when the upstream was found not to answer a first packet, or zero if it has answered one since.
+	silentAt time.Duration
+}
+
+// silenceTime is how long an upstream that didn't answer a first packet gets no new flows, unless it answers another
+// one. Checks of it have ended by then.
+const silenceTime = time.Second
+
+func (u *upstream) isSilent(now time.Duration) bool {
+	return u.silentAt != 0 && now-u.silentAt < silenceTime
 }
 
 func (u *upstream) capacity(now time.Duration) float64 {
@@ -190,6 +200,8 @@
 	// servicesOutdated is true while services doesn't reflect the current upstreams.
 	servicesOutdated bool
 	recentFlows      map[flowKey]*recentFlow
+	// answeredPlacedAt is the latest placedAt of the flows whose upstreams have answered the first packet.
+	answeredPlacedAt time.Duration
 	// pendingRequests are the recent flows whose last request hasn't been assessed yet.
 	pendingRequests map[flowKey]*recentFlow
 	// averages are those of the requests by route.
