Leave the rotation while new flows can only be served elsewhere

Ruled out: staying and refusing, since Callers come back to the same data centre. Change: package rotator, with /ready following it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	"example.org/rattanwood/prober"
 	"example.org/rattanwood/reconciler"
 	"example.org/rattanwood/replicator"
+	"example.org/rattanwood/rotator"
 	"example.org/rattanwood/tagger"
 	"example.org/rattanwood/watcher"
 )
@@ -77,6 +78,7 @@
 	copier    *copier.Copier
 	tagger    *tagger.Tagger
 	evacuator *evacuator.Evacuator
+	rotator   *rotator.Rotator
 	prober    *prober.Prober
 	placer    *placer.Placer
 	// rejected counts invalid input by reason.
@@ -126,6 +128,7 @@
 		peers:             dialer.New(),
 		replica:           replicator.New(),
 		evacuator:         evacuator.New(),
+		rotator:           rotator.New(),
 		rejected:          map[string]uint64{},
 		timings:           newTimings(),
 		forwarded:         map[tagger.Reason]bool{},
@@ -157,7 +160,7 @@
 	taggerConfig := tagger.DefaultConfig()
 	taggerConfig.DataCentre = rattanwood.DataCentre(set.DataCentre)
 	taggerConfig.Random, taggerConfig.Placer, taggerConfig.Prober = random, n.placer, n.prober
-	taggerConfig.Evacuator, taggerConfig.Confiner = n.evacuator, newConfiner(set)
+	taggerConfig.Evacuator, taggerConfig.Rotator, taggerConfig.Confiner = n.evacuator, n.rotator, newConfiner(set)
 	n.tagger = tagger.New(taggerConfig)
 	if err := n.listen(); err != nil {
 		n.close()
@@ -315,6 +318,17 @@
 	n.log.Warn("stopped while packets were still arriving", zap.Duration("after", limit))
 }
 
+// updateRotation decides whether this balancer stays in the fabric's rotation. The calling code must hold mu.
+func (n *Node) updateRotation(now time.Duration) {
+	stays, changed := n.rotator.Update(now, func(service rattanwood.ServiceID) bool { return n.tagger.HasUsable(now, service) })
+	if !changed {
+		return
+	}
+	age, _ := n.watcher.Age(now)
+	n.log.Warn("rotation changed, since new flows can or can't be served here", zap.Bool("stays", stays),
+		zap.Inline(logger.Position(n.replica.Position())), zap.Int64(logger.KeyAge, age.Milliseconds()))
+}
+
 // close closes the unused connections and the sockets, except that of serveWeb, which closes it itself.
 func (n *Node) close() {
 	n.peers.Close()
@@ -354,6 +368,7 @@
 			n.applyRecords(now, fromSettled, n.copier.Expire(now))
 		}
 		n.becomeReady(now, fromSettled)
+		n.updateRotation(now)
 		due := n.prober.StartDueChecks(now, n.assignment)
 		actions := n.messenger.TakeActions()
 		n.mu.Unlock()
--- a/internal/node/web.go
+++ b/internal/node/web.go
@@ -44,7 +44,8 @@
 // Error returns the reason.
 func (e *NotReadyError) Error() string { return "not ready: " + e.Reason }
 
-// Ready fails until this balancer has all records, and while it is shutting down.
+// Ready fails until this balancer has all records, while it is shutting down, and while others can serve new flows but
+// this one can't.
 func (o *operators) Ready(context.Context) error {
 	n := o.node
 	if n.shuttingDown.Load() {
@@ -52,10 +53,15 @@
 	}
 	select {
 	case <-n.becameReady:
-		return nil
 	default:
 		return genoperators.MakeUnready(&NotReadyError{Reason: "no records"})
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.rotator.Stays() {
+		return genoperators.MakeUnready(&NotReadyError{Reason: "no upstream within reach"})
+	}
+	return nil
 }
 
 // Health returns whether the balancer serves, starts or shuts down, and the version of its routes.
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -50,6 +50,7 @@
 		reason, except = Reassigned, r.upstream
 	}
 	u := t.chooseUpstream(now, route, except)
+	t.recordStranded(now, route, u)
 	if u == nil {
 		return t.resetIfCurrent(now, t.refusalReason(route))
 	}
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -63,6 +63,7 @@
 	}
 	if r.opening {
 		t.answeredPlacedAt = max(t.answeredPlacedAt, r.placedAt)
+		t.cfg.Rotator.RecordAnswered(now)
 		if u := t.upstreams[s.Tag]; u != nil {
 			u.silentAt = 0
 		}
@@ -79,6 +80,7 @@
 		t.cfg.Prober.ReportSuspicion(s.Tag)
 	default:
 		t.cfg.Placer.AddRequest(now, s.Tag)
+		t.cfg.Rotator.RecordRequest(now)
 		r.segment = s
 	}
 }
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -20,6 +20,7 @@
 	"example.org/rattanwood/evacuator"
 	"example.org/rattanwood/placer"
 	"example.org/rattanwood/prober"
+	"example.org/rattanwood/rotator"
 )
 
 // Action says what to do with a packet.
@@ -127,6 +128,8 @@
 	Random         *rand.Rand
 	Placer         *placer.Placer
 	Prober         *prober.Prober
+	// Rotator hears which new flows can't be served; nil means that nobody does.
+	Rotator *rotator.Rotator
 	// Evacuator knows the evacuated data centres.
 	Evacuator *evacuator.Evacuator
 	// Confiner tells which data centres may serve a route that has homes.
@@ -222,6 +225,9 @@
 
 // New returns a tagger without routes and upstreams.
 func New(cfg Config) *Tagger {
+	if cfg.Rotator == nil {
+		cfg.Rotator = rotator.New()
+	}
 	if cfg.Evacuator == nil {
 		cfg.Evacuator = evacuator.New()
 	}
--- a/tagger/tagger_test.go
+++ b/tagger/tagger_test.go
@@ -13,6 +13,7 @@
 	"example.org/rattanwood/evacuator"
 	"example.org/rattanwood/placer"
 	"example.org/rattanwood/prober"
+	"example.org/rattanwood/rotator"
 	"example.org/rattanwood/tagger"
 )
 
@@ -27,6 +28,7 @@
 	*tagger.Tagger
 	prober    *prober.Prober
 	evacuator *evacuator.Evacuator
+	rotator   *rotator.Rotator
 	placer    *placer.Placer
 	random    *rand.Rand
 	now       time.Duration
@@ -34,9 +36,10 @@
 
 func newFixture() *fixture {
 	random := rand.New(rand.NewPCG(1, 2))
-	f := &fixture{evacuator: evacuator.New(), prober: prober.New(prober.DefaultConfig()), placer: placer.New(placer.DefaultConfig(random)), random: random, now: time.Second}
+	f := &fixture{evacuator: evacuator.New(), rotator: rotator.New(), prober: prober.New(prober.DefaultConfig()), placer: placer.New(placer.DefaultConfig(random)), random: random, now: time.Second}
 	cfg := tagger.DefaultConfig()
 	cfg.DataCentre, cfg.Random, cfg.Placer, cfg.Prober, cfg.Evacuator = "east", random, f.placer, f.prober, f.evacuator
+	cfg.Rotator = f.rotator
 	f.Tagger = tagger.New(cfg)
 	f.SetRouting(routing(1))
 	for i := range 6 {
