Tell all members of deaths, and forget the dead after a while

With neighbours only, a node's death was known to its neighbours alone: all others kept it listed for good, in their ranks for checks and reading, and passed its name on. Neighbours now tell of a death with the incarnation and the age of the last sign of life; whoever heard the member since refutes it, the member included; answers to a Pull make up for lost news. The watcher forgets readers that have ended. Changes of state are logged.

Ruled out: raising incarnations as SWIM does (they identify readers), and tombstones for strangers (no effect in any test).

No existing test's bound changed; the test fleet names bootstrap addresses by AddBootstrap, and drops datagrams to addresses where no node is.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -10,6 +10,7 @@
 package detector
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -72,6 +73,9 @@
 	// grows with the fleet. A sparse detector doesn't hear every member, so its LeaseExpiry can't be
 	// relied on.
 	Sparse bool
+	// MemberRetention is how long a sparse detector keeps members that are dead. DefaultMemberRetention
+	// is used if it is zero.
+	MemberRetention time.Duration
 }
 
 // HeartbeatPayload is what a heartbeat tells about the state of its sender.
@@ -122,13 +126,19 @@
 	// again.
 	cachedDigest uint64
 	digestStale  bool
+	// news holds for each member of which there is news the number of rounds in which it is still sent.
+	news map[rattanwood.VMID]int
+	// changes are those for TakeChanges.
+	changes []Change
 }
 
 // New returns a detector that knows only itself.
 func New(cfg Config) *Detector {
+	cfg.MemberRetention = cmp.Or(cfg.MemberRetention, DefaultMemberRetention)
 	return &Detector{
 		cfg:         cfg,
 		members:     map[rattanwood.VMID]*Member{},
+		news:        map[rattanwood.VMID]int{},
 		random:      rand.New(rand.NewPCG(cfg.Seed, ranker.Seed(string(cfg.Self)))),
 		digestStale: true,
 	}
@@ -150,6 +160,7 @@
 	d.seq++
 	d.sent[d.seq%heartbeatHistory] = now
 	if d.cfg.Sparse {
+		d.forgetMembers(now)
 		d.chooseNeighbours(now)
 	}
 	for _, m := range d.sorted {
@@ -213,6 +224,11 @@
 	for _, m := range d.sorted {
 		m.lastHeard += pause
 		m.heardByHelper += pause
+		for _, at := range []*time.Duration{&m.heardAt, &m.deadAt} {
+			if *at != 0 {
+				*at += pause
+			}
+		}
 		m.inSyncAt = 0
 	}
 }
@@ -232,8 +248,11 @@
 		}
 		return nil
 	case silence >= d.cfg.DeadAfter:
-		m.State = Dead
-		d.digestStale = true
+		if m.heardAt == 0 {
+			// It was named by others but never heard.
+			m.heardAt = m.lastHeard
+		}
+		d.declareDead(now, m, false)
 		return nil
 	case now-m.lastHeard < d.cfg.SuspectAfter:
 		return nil
@@ -319,11 +338,17 @@
 func (d *Detector) recordHeartbeat(now time.Duration, m *Member, b *wire.Beat) {
 	m.lastHeard = now
 	m.lastSeqAt = now
+	if d.cfg.Sparse {
+		m.heardAt = now
+	}
 	m.lastSeq = b.Seq
 	if !b.Courtesy {
 		m.lastAsNeighbour = now
 	}
 	if m.State != Alive || m.Leaving != b.Leaving {
+		if m.State == Dead {
+			d.recordChange(now, m, Revived, false)
+		}
 		m.State = Alive
 		m.Leaving = b.Leaving
 		d.digestStale = true
@@ -365,16 +390,22 @@
 	age := time.Duration(min(w.GetAge(), maxAgeMillis)) * time.Millisecond
 	if known && age < d.cfg.SuspectAfter {
 		m.heardByHelper = max(m.heardByHelper, now-age)
+		if d.cfg.Sparse {
+			m.heardAt = max(m.heardAt, now-age)
+		}
 	}
 }
 
-// SinceHeartbeat returns the time since a member was last heard, or became a neighbour without having
-// been heard; ok is false if it is unknown or in state Listed.
+// SinceHeartbeat returns the time since a member was last heard; ok is false if it is unknown or in
+// state Listed, or wasn't heard yet.
 func (d *Detector) SinceHeartbeat(now time.Duration, vm rattanwood.VMID) (silence time.Duration, ok bool) {
 	m, known := d.members[vm]
-	if !known || m.State == Listed {
+	if !known || m.State == Listed || d.cfg.Sparse && m.heardAt == 0 {
 		return 0, false
 	}
+	if d.cfg.Sparse {
+		return now - m.heardAt, true
+	}
 	return now - m.lastHeard, true
 }
 
--- a/detector/memberlist.go
+++ b/detector/memberlist.go
@@ -45,6 +45,11 @@
 	// lastSeq is the number of the member's newest heartbeat, and lastSeqAt is when it arrived.
 	lastSeq   uint64
 	lastSeqAt time.Duration
+	// heardAt is the latest time at which any member is known to have heard it; zero for never. deadAt is when it
+	// became Dead here. Only a sparse detector uses them.
+	heardAt, deadAt time.Duration
+	// bootstrap is set for the address of a bootstrap member.
+	bootstrap bool
 }
 
 // Add adds a member that the platform or a peer names, or updates its address and data centre. The
@@ -58,8 +63,8 @@
 		m = &Member{VM: vm, DataCentre: centre, Seed: ranker.Seed(string(vm))}
 		d.digestStale = true
 		d.members[vm] = m
-		d.sorted = append(d.sorted, m)
-		slices.SortFunc(d.sorted, func(a, b *Member) int { return strings.Compare(string(a.VM), string(b.VM)) })
+		i, _ := slices.BinarySearchFunc(d.sorted, vm, func(m *Member, vm rattanwood.VMID) int { return strings.Compare(string(m.VM), string(vm)) })
+		d.sorted = slices.Insert(d.sorted, i, m)
 	}
 	if m.State != Alive {
 		m.Address = address
@@ -76,12 +81,12 @@
 }
 
 // MergeMemberList adds the members that a peer names and reports whether one of them is new. Entries
-// without a valid address are skipped.
+// without a valid address and those of dead members are skipped.
 func (d *Detector) MergeMemberList(r *wire.Roster) (added bool) {
 	before := len(d.sorted)
 	for _, w := range r.GetMembers() {
 		address, err := netip.ParseAddrPort(w.GetAddress())
-		if err != nil {
+		if err != nil || w.GetGone() {
 			continue
 		}
 		d.Add(rattanwood.VMID(w.GetVm()), address, rattanwood.DataCentre(w.GetCentre()))
@@ -140,11 +145,10 @@
 }
 
 // inMemberList reports whether the member list that is sent to peers names a member. That of a sparse
-// detector names the dead as well: only their neighbours know of the failure, and the lists of all
-// members must become equal.
+// detector names all that aren't known to be dead, also those that this process doesn't hear.
 func (d *Detector) inMemberList(m *Member) bool {
 	if d.cfg.Sparse {
-		return m.DataCentre != ""
+		return m.DataCentre != "" && m.State != Dead
 	}
 	return m.State == Alive
 }
@@ -181,8 +185,9 @@
 	return uint32(seed>>32)%p.GetParts() == p.GetPart()
 }
 
-// BuildMemberList builds the answer to a Pull. It names this process as well.
-func (d *Detector) BuildMemberList(p *wire.Pull) *wire.Roster {
+// BuildMemberList builds the answer to a Pull. It names this process as well, and the dead members that
+// the sender of the Pull takes for alive.
+func (d *Detector) BuildMemberList(now time.Duration, p *wire.Pull) *wire.Roster {
 	named := make([]*Member, 0, len(d.sorted))
 	for _, m := range d.sorted {
 		if d.inMemberList(m) {
@@ -192,20 +197,15 @@
 	if p.GetParts() > 0 {
 		named = d.unknownToSender(named, p)
 	}
-	r := &wire.Roster{Members: []*wire.Member{{
-		Vm: string(d.cfg.Self), Life: uint64(d.cfg.Incarnation),
-		Address: d.cfg.Address.String(), Centre: string(d.cfg.DataCentre),
-	}}}
+	r := &wire.Roster{Members: []*wire.Member{d.ownEntry()}}
 	for _, m := range named {
-		r.Members = append(r.Members, &wire.Member{
-			Vm: string(m.VM), Life: uint64(m.Incarnation),
-			Address: m.Address.String(), Centre: string(m.DataCentre),
-		})
+		r.Members = append(r.Members, m.entry(now))
 	}
 	return r
 }
 
-// unknownToSender returns the members that the sender of a Pull doesn't know. If there are more than
+// unknownToSender returns the members that the sender of a Pull doesn't know, and the dead ones among those
+// that it does. If there are more than
 // fit, it draws some at random: peers that received different ones exchange the rest by gossip.
 func (d *Detector) unknownToSender(members []*Member, p *wire.Pull) []*Member {
 	known := make(map[uint32]bool, len(p.GetKnown()))
@@ -213,6 +213,11 @@
 		known[hash] = true
 	}
 	missing := slices.DeleteFunc(members, func(m *Member) bool { return !inPart(m.Seed, p) || known[uint32(m.Seed)] })
+	for _, m := range d.sorted {
+		if m.State == Dead && inPart(m.Seed, p) && known[uint32(m.Seed)] {
+			missing = append(missing, m)
+		}
+	}
 	if len(missing) > maxNamedMembers {
 		d.random.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
 		missing = missing[:maxNamedMembers]
--- a/detector/sparse.go
+++ b/detector/sparse.go
@@ -23,8 +23,9 @@
 func (d *Detector) chooseNeighbours(now time.Duration) {
 	var centre, fleet []*Member
 	for _, m := range d.sorted {
-		m.neighbour = false
-		m.distant = m.State == Dead || m.lastAsNeighbour == 0 || now-m.lastAsNeighbour > d.cfg.SuspectAfter
+		// A silent neighbour stays one until it is heard or dead, although the ring may change meanwhile.
+		m.neighbour = m.neighbour && m.State == Suspect
+		m.distant = !m.neighbour && (m.State == Dead || m.lastAsNeighbour == 0 || now-m.lastAsNeighbour > d.cfg.SuspectAfter)
 		if m.State == Dead || m.DataCentre == "" {
 			continue
 		}
@@ -68,7 +69,7 @@
 // randomPeers returns distant members that get a heartbeat in this round: every randomPeerRounds
 // rounds a random one, so that parts of the fleet which were partitioned and declared each other dead
 // find each other again. Members without a data centre are bootstrap addresses, behind which is some
-// other member; they are contacted only while no member is alive.
+// other member; they are contacted only while no member is alive, or none is known at the address.
 func (d *Detector) randomPeers(now time.Duration) []*Member {
 	var distant []*Member
 	hasAlive := slices.ContainsFunc(d.sorted, func(m *Member) bool { return m.State == Alive })
@@ -77,11 +78,8 @@
 			distant = append(distant, m)
 		}
 	}
-	if len(distant) == 0 || hasAlive && d.seq%randomPeerRounds != 0 {
-		return nil
-	}
 	if hasAlive {
-		distant = []*Member{distant[d.random.IntN(len(distant))]}
+		distant = d.drawPeers(distant)
 	}
 	for _, m := range distant {
 		m.lastContacted = now
@@ -91,3 +89,16 @@
 	}
 	return distant
 }
+
+// drawPeers draws the distant members that get a heartbeat in this round.
+func (d *Detector) drawPeers(distant []*Member) (drawn []*Member) {
+	if len(distant) > 0 && d.seq%randomPeerRounds == 0 {
+		drawn = append(drawn, distant[d.random.IntN(len(distant))])
+	}
+	if d.seq%bootstrapRounds == 0 {
+		if m := d.unclaimedBootstrap(); m != nil {
+			drawn = append(drawn, m)
+		}
+	}
+	return drawn
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -132,7 +132,7 @@
 	n.messenger = messenger.New(messengerCfg)
 	for _, address := range set.SeedAddresses() {
 		if address != set.PeerAddress() {
-			n.messenger.Members.Add(seedName(address), address, "")
+			n.messenger.Members.AddBootstrap(seedName(address), address)
 		}
 	}
 	n.watcher = watcher.New(watcherConfig(settings.Duration(set.Times.ApplyDeadline), n.messenger.ReaderID(), random))
@@ -326,8 +326,10 @@
 		n.becomeReady(now, fromSettled)
 		due := n.prober.StartDueChecks(now, n.assignment)
 		actions := n.messenger.TakeActions()
+		changes := n.messenger.Members.TakeChanges()
 		n.mu.Unlock()
 		n.logFailures(failures)
+		n.logMembers(changes)
 		n.performActions(ctx, actions)
 		n.startChecks(ctx, now, due)
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -14,6 +14,7 @@
 
 	"example.org/rattanwood"
 	"example.org/rattanwood/copier"
+	"example.org/rattanwood/detector"
 	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
 	"example.org/rattanwood/messenger"
@@ -99,6 +100,14 @@
 	}
 }
 
+// logMembers logs changes in what is believed of other balancers.
+func (n *Node) logMembers(changes []detector.Change) {
+	for _, c := range changes {
+		n.log.Info("member changed", zap.String(logger.KeyPeer, string(c.VM)), zap.Uint64("life", uint64(c.Incarnation)),
+			zap.Stringer(logger.KeyOutcome, c.Kind), zap.Bool("told", c.Told), zap.Int64(logger.KeyAge, c.Silence.Milliseconds()))
+	}
+}
+
 // performActions carries out what the messenger asks for.
 func (n *Node) performActions(ctx context.Context, actions []messenger.Action) {
 	for _, a := range actions {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -60,7 +60,7 @@
 	defer n.mu.Unlock()
 	for _, address := range set.SeedAddresses() {
 		if address != n.cfg.Settings.PeerAddress() {
-			n.messenger.Members.Add(seedName(address), address, "")
+			n.messenger.Members.AddBootstrap(seedName(address), address)
 		}
 	}
 	n.log.Info("settings reloaded", zap.Strings("seeds", set.Seeds))
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -198,6 +198,9 @@
 // Tick sends the heartbeats and indirect probes that are due. It calls payload only if there are
 // heartbeats to send.
 func (m *Messenger) Tick(now time.Duration, payload func() HeartbeatPayload) {
+	if m.Members.HasNews() {
+		m.spreadNames(now)
+	}
 	receivers, probes := m.Members.Tick(now)
 	if !m.settling.done {
 		m.settling.observe(now, len(m.Members.Members()), m.cfg.Detector.HeartbeatInterval/2, m.cfg.Detector.DeadAfter)
@@ -208,6 +211,11 @@
 	if len(receivers) == 0 {
 		return
 	}
+	if news := m.Members.TakeNews(now); news != nil {
+		for _, to := range receivers {
+			m.send(now, to, &wire.Envelope{Body: &wire.Envelope_Roster{Roster: news}})
+		}
+	}
 	p := payload()
 	shared := m.encodePayload(now, p)
 	for _, to := range receivers {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -54,6 +54,8 @@
 	log       []rattanwood.Record
 	// loads is the number of upstreams that each node reports a load for.
 	loads int
+	// retention is how long nodes keep dead members.
+	retention time.Duration
 	// onPayload adds to what a node sends, and onHeartbeat handles what it receives.
 	onPayload   func(n *node, p *payload)
 	onHeartbeat func(n *node, h *heartbeat)
@@ -64,9 +66,13 @@
 	heartbeat = messenger.Heartbeat
 )
 
-func newFleet(c *qt.C, n int) *fleet {
+func newFleet(c *qt.C, n int) *fleet { return newFleetWith(c, n, 0) }
+
+// newFleetWith returns a fleet whose nodes keep dead members for a time; zero stands for the default.
+func newFleetWith(c *qt.C, n int, retention time.Duration) *fleet {
 	f := &fleet{
-		c: c, byAddress: map[netip.AddrPort]*node{}, isCut: func(*node, *node) bool { return false }, random: rand.New(rand.NewPCG(3, 4)),
+		retention: retention,
+		c:         c, byAddress: map[netip.AddrPort]*node{}, isCut: func(*node, *node) bool { return false }, random: rand.New(rand.NewPCG(3, 4)),
 		onPayload: func(*node, *payload) {}, onHeartbeat: func(*node, *heartbeat) {},
 	}
 	for i := range n {
@@ -84,14 +90,14 @@
 	n.messenger = messenger.New(messenger.Config{
 		Detector: detector.Config{
 			Self: n.name, Address: n.address, DataCentre: rattanwood.DataCentre(fmt.Sprint("dc", centre)), Incarnation: 1, Seed: uint64(i),
-			HeartbeatInterval: time.Second, SuspectAfter: 2500 * time.Millisecond, DeadAfter: 5 * time.Second, ActivationDelay: 3 * time.Second, PauseThreshold: time.Second, Sparse: true,
+			HeartbeatInterval: time.Second, SuspectAfter: 2500 * time.Millisecond, DeadAfter: 5 * time.Second, ActivationDelay: 3 * time.Second, PauseThreshold: time.Second, Sparse: true, MemberRetention: f.retention,
 		},
 		Limiter:  limiter.Config{Rate: 27 << 10, Burst: 256 << 10},
 		Position: n.replica.Position,
 	})
 	n.watcher = watcher.New(watcher.Config{Self: watcher.ReaderID(1000 - i), Random: f.random})
 	for seed := range min(3, len(f.nodes)) {
-		n.messenger.Members.Add(rattanwood.VMID(f.nodes[seed].address.Addr().String()), f.nodes[seed].address, "")
+		n.messenger.Members.AddBootstrap(rattanwood.VMID(f.nodes[seed].address.Addr().String()), f.nodes[seed].address)
 	}
 	n.copier = copier.New(copier.Config{Replica: n.replica, Reconciler: reconciler.New(reconciler.Config{}), Watcher: n.watcher, Messenger: n.messenger, SpreadInterval: step})
 	n.replica.ReplaceAll(nil, 0)
@@ -131,6 +137,9 @@
 			size := proto.Size(a.Message) + 28
 			n.bytes += size
 			to := f.nodeAt(a.Address)
+			if to == nil {
+				continue
+			}
 			if to.dataCentre != n.dataCentre {
 				n.remoteBytes += size
 			}
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -32,21 +32,28 @@
 	case *wire.Envelope_Witness:
 		m.Members.HandleProbeAnswer(now, body.Witness)
 	case *wire.Envelope_Roster:
+		m.Members.ApplyNews(now, body.Roster)
 		if m.Members.MergeMemberList(body.Roster) {
 			// The sender of the next heartbeat may know further members, so ask it without delay. Peers that
 			// know fewer see that by this balancer's next heartbeat.
 			m.lastPull = 0
-			if now-m.lastNamesSpread >= namesSpreadInterval {
-				m.lastNamesSpread = now
-				m.Members.TriggerHeartbeats()
-			}
+			m.spreadNames(now)
 		}
 	case *wire.Envelope_Pull:
-		m.send(now, sender, &wire.Envelope{Body: &wire.Envelope_Roster{Roster: m.Members.BuildMemberList(body.Pull)}})
+		m.send(now, sender, &wire.Envelope{Body: &wire.Envelope_Roster{Roster: m.Members.BuildMemberList(now, body.Pull)}})
 	}
 	return Heartbeat{}, false
 }
 
+// spreadNames triggers a round of heartbeats because members became known or their states changed, unless it
+// did so within namesSpreadInterval.
+func (m *Messenger) spreadNames(now time.Duration) {
+	if now-m.lastNamesSpread >= namesSpreadInterval {
+		m.lastNamesSpread = now
+		m.Members.TriggerHeartbeats()
+	}
+}
+
 // handleHeartbeat records a heartbeat, asks its sender for its member list if that differs, and
 // decodes the payload; the result is false for a heartbeat that must be ignored.
 func (m *Messenger) handleHeartbeat(now time.Duration, sender *detector.Member, e *wire.Envelope, message *wire.Beat) (Heartbeat, bool) {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -8,6 +8,7 @@
 package watcher
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 )
@@ -50,7 +51,7 @@
 	latestConfirmed time.Duration
 	// lastSeq holds the last sequence number of each reader. Without it, a confirmation that
 	// returns through other balancers would look newer with every hop.
-	lastSeq map[ReaderID]uint64
+	lastSeq map[ReaderID]sequence
 	// everConfirmed is true once the records were confirmed by any reader.
 	everConfirmed bool
 	// isReader is true while this balancer reads the source continuously for the others.
@@ -62,9 +63,23 @@
 	backoff     time.Duration
 }
 
+// sequence is the last sequence number of a reader, and when it was confirmed with.
+type sequence struct {
+	seq uint64
+	at  time.Duration
+}
+
+const (
+	// maxReaders is the number of readers above which those that have been silent for readerRetention are
+	// forgotten.
+	maxReaders = 32
+	// readerRetention is many times as long as a confirmation takes through the fleet.
+	readerRetention = time.Minute
+)
+
 // New returns a Watcher that reads at once, as its records were never confirmed.
 func New(cfg Config) *Watcher {
-	return &Watcher{cfg: cfg, lastSeq: map[ReaderID]uint64{}}
+	return &Watcher{cfg: cfg, lastSeq: map[ReaderID]sequence{}}
 }
 
 // RecordRead records that this balancer found the records current at a time, and makes this
@@ -72,15 +87,16 @@
 // that has just started every balancer makes one.
 func (w *Watcher) RecordRead(now, at time.Duration) {
 	w.failures, w.isReader = 0, w.everConfirmed
-	w.Confirm(now, Confirmation{Reader: w.cfg.Self, Seq: w.lastSeq[w.cfg.Self] + 1, At: at})
+	w.Confirm(now, Confirmation{Reader: w.cfg.Self, Seq: w.lastSeq[w.cfg.Self].seq + 1, At: at})
 }
 
 // Confirm records a confirmation and reports whether it is to be passed on.
 func (w *Watcher) Confirm(now time.Duration, c Confirmation) bool {
-	if w.lastSeq[c.Reader] >= c.Seq {
+	if w.lastSeq[c.Reader].seq >= c.Seq {
 		return false
 	}
-	w.lastSeq[c.Reader] = c.Seq
+	w.lastSeq[c.Reader] = sequence{seq: c.Seq, at: now}
+	w.forgetReaders(now)
 	if c.Reader > w.cfg.Self && now-c.At <= w.cfg.YieldAge {
 		w.isReader = false
 	}
@@ -93,6 +109,17 @@
 	return true
 }
 
+// forgetReaders forgets readers that have probably ended. This balancer's own number stays.
+func (w *Watcher) forgetReaders(now time.Duration) {
+	if len(w.lastSeq) <= maxReaders {
+		return
+	}
+	maps.DeleteFunc(w.lastSeq, func(id ReaderID, last sequence) bool { return id != w.cfg.Self && now-last.at >= readerRetention })
+}
+
+// Readers returns the number of readers that are remembered.
+func (w *Watcher) Readers() int { return len(w.lastSeq) }
+
 // replaces reports whether a confirmation becomes the one to pass on. Of two recent ones, that is
 // the one by the reader with the higher ID. If the newer one were passed on instead, each of two
 // distant readers would see only its own confirmations, and neither would ever yield.
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -195,3 +195,21 @@
 	f.run(30*time.Second, 40*time.Second, all)
 	c.Assert(f.calls <= 101, qt.IsTrue, qt.Commentf("%d calls in 10 s, of one reader 100", f.calls))
 }
+
+// TestReadersThatEndedAreForgotten has each of 10,000 processes read the source once, among them this one.
+func TestReadersThatEndedAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	w := newWatcher(1)
+	w.RecordRead(0, 0)
+	now := time.Duration(0)
+	for id := range watcher.ReaderID(10_000) {
+		now += 10 * time.Second
+		w.Confirm(now, watcher.Confirmation{Reader: id + 2, Seq: 1, At: now})
+		w.Confirm(now, watcher.Confirmation{Reader: id + 2, Seq: 1, At: now})
+	}
+	c.Assert(w.Readers() <= 40, qt.IsTrue, qt.Commentf("%d readers", w.Readers()))
+	c.Log("a later confirmation of its own still counts as newer")
+	w.RecordRead(now+time.Second, now+time.Second)
+	age, _ := w.Age(now + time.Second)
+	c.Assert(age, qt.Equals, time.Duration(0))
+}
