Decide which first packets to admit by importance, from reported demand

Change: package admitter weighs the fleet's demand by level, extrapolated from reports, against the slots of the service, corrected by the share of tries that upstreams turn away. Tests play a fleet in virtual time, each with the load that it answers.

--- /dev/null
+++ b/admitter/fleet_test.go
@@ -0,0 +1,328 @@
+package admitter_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/admitter"
+)
+
+const (
+	service = rattanwood.ServiceID("forms")
+	// Upstreams serve two requests at once and queue four.
+	slotsEach, queueEach = 2, 4
+	roundTrip            = 6 * time.Millisecond
+	maxTries             = 3
+)
+
+// kind is a class of requests with its share of the offers and the mean of its exponential work.
+type kind struct {
+	class rattanwood.Class
+	share float64
+	work  time.Duration
+}
+
+var kinds = []kind{
+	{rattanwood.Class{Target: 400 * time.Millisecond, Timeout: 1500 * time.Millisecond}, 0.21, 17 * time.Millisecond},
+	{rattanwood.Class{Repeatable: true, Target: 400 * time.Millisecond, Timeout: 1500 * time.Millisecond}, 0.73, 13 * time.Millisecond},
+	{rattanwood.Class{Repeatable: true, Target: 1200 * time.Millisecond, Timeout: 6 * time.Second}, 0.06, 5 * time.Millisecond},
+}
+
+// outcome counts the requests of a kind by what their Callers got.
+type outcome struct{ asked, inTime, late, refused, failed int }
+
+// request is a Caller's request; tries counts its flows.
+type request struct {
+	kind, centre int
+	caller       netip.Addr
+	start        time.Duration
+	tries        int
+}
+
+// event is something that happens at a time.
+type event struct {
+	at time.Duration
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// fleet is a number of admitters in three data centres in front of one service. Offers go to any balancer of
+// the Caller's data centre and, if admitted, to any upstream.
+type fleet struct {
+	now       time.Duration
+	queue     events
+	random    *rand.Rand
+	admitters []*admitter.Admitter
+	members   map[rattanwood.DataCentre]int
+	// busy is the number of requests at each upstream, and done the time at which each slot is free.
+	busy []int
+	done [][slotsEach]time.Duration
+	// usable is the number of upstreams that balancers know to be usable.
+	usable int
+	// reportLoss is the fraction of reports that are lost, and reportDelay how late the others come.
+	reportLoss  float64
+	reportDelay time.Duration
+	// centreBoost and callerBoost multiply the offers of the first data centre and the first Caller, and
+	// kindBoost those of each kind.
+	centreBoost, callerBoost float64
+	kindBoost                []float64
+	callers, tries           int
+	// failing is the fraction of requests that upstreams fail without any load.
+	failing float64
+	// open turns admission off.
+	open bool
+
+	byKind   []outcome
+	byCentre [3]outcome
+	byCaller map[netip.Addr]*outcome
+	// admitted is the mean work in seconds of the requests that were let in by second, and refusals the
+	// number of tries that were refused.
+	admitted       map[int]float64
+	refusals       int
+	slowestRefusal time.Duration
+	// countedFrom is the time of the first request that is counted.
+	countedFrom time.Duration
+}
+
+func centreName(i int) rattanwood.DataCentre { return rattanwood.DataCentre(fmt.Sprintf("dc%d", i)) }
+
+// newFleet returns a fleet whose balancers know of all upstreams.
+func newFleet(balancers, upstreams int, seed uint64) *fleet {
+	f := &fleet{
+		random: rand.New(rand.NewPCG(seed, 1)), members: map[rattanwood.DataCentre]int{}, callers: 200, tries: maxTries,
+		centreBoost: 1, callerBoost: 1, kindBoost: []float64{1, 1, 1},
+		busy: make([]int, upstreams), done: make([][slotsEach]time.Duration, upstreams),
+	}
+	f.resetCounts()
+	for i := range balancers {
+		f.members[centreName(i%3)]++
+		cfg := admitter.DefaultConfig(rand.New(rand.NewPCG(seed, uint64(i))))
+		cfg.DataCentre = centreName(i % 3)
+		f.admitters = append(f.admitters, admitter.New(cfg))
+		f.after(time.Duration(f.random.Int64N(int64(time.Second))), func() { f.heartbeat(i, f.random.IntN(3)) })
+	}
+	f.setUsable(len(f.busy))
+	return f
+}
+
+func (f *fleet) resetCounts() {
+	f.byKind, f.byCentre, f.byCaller = make([]outcome, len(kinds)), [3]outcome{}, map[netip.Addr]*outcome{}
+	f.admitted, f.refusals, f.slowestRefusal, f.countedFrom = map[int]float64{}, 0, 0, f.now
+}
+
+func (f *fleet) after(d time.Duration, do func()) { heap.Push(&f.queue, event{f.now + d, do}) }
+
+// setUsable makes only the first n upstreams usable; all balancers learn of it at once.
+func (f *fleet) setUsable(n int) {
+	f.usable = n
+	for _, a := range f.admitters {
+		a.SetSlots(f.now, service, float64(n*slotsEach))
+	}
+}
+
+// heartbeat reports to the eight next balancers of the data centre, and every third time to two of each other.
+func (f *fleet) heartbeat(i, round int) {
+	f.admitters[i].Tick(f.now, f.members)
+	n := len(f.admitters)
+	neighbours := map[int]bool{}
+	for k := 1; k <= 8; k++ {
+		neighbours[(i+3*k)%n] = true
+		if round%3 == 0 && k <= 4 {
+			neighbours[(i+k+k/3)%n] = true
+		}
+	}
+	reports := f.admitters[i].Reports(f.now)
+	for j := range n {
+		if !neighbours[j] || j == i || f.random.Float64() < f.reportLoss {
+			continue
+		}
+		f.after(f.reportDelay, func() {
+			for _, r := range reports {
+				f.admitters[j].MergeReport(f.now, rattanwood.VMID(fmt.Sprint(i)), centreName(i%3), r)
+			}
+		})
+	}
+	f.after(time.Second, func() { f.heartbeat(i, round+1) })
+}
+
+// capacity returns the requests a second that the usable upstreams bear.
+func (f *fleet) capacity() float64 {
+	work := 0.0
+	for _, k := range kinds {
+		work += k.share * k.work.Seconds()
+	}
+	return float64(f.usable*slotsEach) / work
+}
+
+// play lets Callers ask for a rate of requests for some time.
+func (f *fleet) play(perSecond float64, d time.Duration) {
+	end := f.now + d
+	weights := []float64{}
+	for i, k := range kinds {
+		weights = append(weights, k.share*f.kindBoost[i])
+	}
+	total := perSecond * (weights[0] + weights[1] + weights[2]) * (f.centreBoost + 2) / 3 * (f.callerBoost + float64(f.callers-1)) / float64(f.callers)
+	var arrive func()
+	arrive = func() {
+		if f.now >= end {
+			return
+		}
+		caller := draw(f.random, append([]float64{f.callerBoost}, ones(f.callers-1)...))
+		r := &request{kind: draw(f.random, weights), centre: draw(f.random, []float64{f.centreBoost, 1, 1}), start: f.now}
+		r.caller = netip.AddrFrom4([4]byte{100, 64, byte(caller >> 8), byte(caller)})
+		f.count(r, func(o *outcome) { o.asked++ })
+		f.try(r)
+		f.after(time.Duration(f.random.ExpFloat64()/total*float64(time.Second)), arrive)
+	}
+	arrive()
+	f.run(end)
+}
+
+// run lets what is under way go on until some time.
+func (f *fleet) run(end time.Duration) {
+	for len(f.queue) > 0 && f.queue[0].at < end {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = end
+}
+
+// measure plays a load and counts what becomes of it alone.
+func (f *fleet) measure(perSecond float64, d time.Duration) {
+	f.resetCounts()
+	f.play(perSecond, d)
+	f.run(f.now + 300*time.Millisecond)
+}
+
+// goodput returns the work that was done in time within d, as a share of the usable slots.
+func (f *fleet) goodput(d time.Duration) float64 {
+	work := 0.0
+	for i, o := range f.byKind {
+		work += float64(o.inTime) * kinds[i].work.Seconds()
+	}
+	return work / d.Seconds() / float64(f.usable*slotsEach)
+}
+
+// swing returns the greatest deviation of the work admitted in a whole second from the mean, as its share.
+func (f *fleet) swing(from, to time.Duration) float64 {
+	first, last := int(from/time.Second), int(to/time.Second)
+	mean, worst := 0.0, 0.0
+	for i := first; i < last; i++ {
+		mean += f.admitted[i] / float64(last-first)
+	}
+	for i := first; i < last; i++ {
+		worst = max(worst, math.Abs(f.admitted[i]/mean-1))
+	}
+	return worst
+}
+
+// share returns the part of the requests that were answered in time.
+func (o outcome) share() float64 { return float64(o.inTime) / float64(o.asked) }
+
+func ones(n int) []float64 {
+	out := make([]float64, n)
+	for i := range out {
+		out[i] = 1
+	}
+	return out
+}
+
+// draw returns an index by weight.
+func draw(random *rand.Rand, weights []float64) int {
+	total := 0.0
+	for _, w := range weights {
+		total += w
+	}
+	x := random.Float64() * total
+	for i, w := range weights {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
+
+// count adds to the outcomes of a request if it belongs to the measured ones.
+func (f *fleet) count(r *request, add func(*outcome)) {
+	if r.start < f.countedFrom {
+		return
+	}
+	if f.byCaller[r.caller] == nil {
+		f.byCaller[r.caller] = &outcome{}
+	}
+	for _, o := range []*outcome{&f.byKind[r.kind], &f.byCentre[r.centre], f.byCaller[r.caller]} {
+		add(o)
+	}
+}
+
+// try sends a first packet to a balancer of the Caller's data centre.
+func (f *fleet) try(r *request) {
+	r.tries++
+	n := (len(f.admitters) - r.centre + 2) / 3
+	a := f.admitters[r.centre+3*f.random.IntN(n)]
+	o := admitter.Offer{Service: service, Class: kinds[r.kind].class, Caller: r.caller}
+	if !f.open && !a.Decide(f.now, o).Admit {
+		f.refusals++
+		f.slowestRefusal = max(f.slowestRefusal, f.now+roundTrip-r.start)
+		f.retry(r, func(o *outcome) { o.refused++ })
+		return
+	}
+	f.serve(a, o, r)
+}
+
+func (f *fleet) retry(r *request, give func(*outcome)) {
+	if r.tries >= f.tries {
+		f.count(r, give)
+		return
+	}
+	f.after(roundTrip, func() { f.try(r) })
+}
+
+// serve queues a request at an upstream, which turns it away if its queue is full.
+func (f *fleet) serve(a *admitter.Admitter, o admitter.Offer, r *request) {
+	u := f.random.IntN(f.usable)
+	if f.busy[u] >= slotsEach+queueEach || f.random.Float64() < f.failing {
+		a.RecordFailure(f.now, o)
+		f.retry(r, func(o *outcome) { o.failed++ })
+		return
+	}
+	f.busy[u]++
+	slot := 0
+	for i, at := range f.done[u] {
+		if at < f.done[u][slot] {
+			slot = i
+		}
+	}
+	work := time.Duration(f.random.ExpFloat64() * float64(kinds[r.kind].work))
+	f.admitted[int(f.now/time.Second)] += kinds[r.kind].work.Seconds()
+	f.done[u][slot] = max(f.done[u][slot], f.now) + work
+	f.after(f.done[u][slot]-f.now, func() { f.busy[u]-- })
+	latency := f.done[u][slot] - f.now + roundTrip
+	f.after(latency, func() {
+		a.RecordResponse(f.now, o, latency, roundTrip)
+		f.count(r, func(o *outcome) {
+			if f.now-r.start <= kinds[r.kind].class.Target {
+				o.inTime++
+			} else {
+				o.late++
+			}
+		})
+	})
+}
