--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -43,6 +43,9 @@
 			payload.Loads = append(payload.Loads, messenger.LoadReport{Upstream: id, Requests: own.Requests, Failures: own.Failures, KnownFailures: failures})
 		}
 	}
+	if n.admitter != nil {
+		payload.Demands = n.ownDemands(now)
+	}
 	return payload
 }
 
@@ -94,6 +97,9 @@
 			n.copier.RequestHeartbeats(now)
 		}
 	}
+	if n.admitter != nil {
+		n.mergeDemands(now, heartbeat)
+	}
 	sameDataCentre := string(heartbeat.DataCentre) == n.cfg.Settings.DataCentre
 	for _, id := range heartbeat.Failing {
 		n.prober.AddPeerReport(now, id, prober.PeerReport{SameDataCentre: sameDataCentre, Dead: slices.Contains(heartbeat.Dead, id)})
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -41,7 +41,7 @@
 		silent := t.isSilent(r)
 		u := t.upstreams[r.upstream]
 		if u != nil && !silent && !t.cfg.Prober.ShouldAvoid(now, r.upstream) && t.allowed(now, route, u) {
-			r.lastSeen = now
+			r.lastSeen, r.retransmitted = now, true
 			return forward(now, u, Retransmitted)
 		}
 		if u != nil && silent {
@@ -49,7 +49,13 @@
 		}
 		reason, except = Reassigned, r.upstream
 	}
-	u := t.chooseUpstream(now, route, except)
+	service := t.drawService(route)
+	if reason == Placed {
+		if refusal := t.admit(now, route, service, s); refusal != nil {
+			return Verdict{Action: Reset, Reason: Overloaded, Refusal: refusal}
+		}
+	}
+	u := t.chooseUpstream(now, route, service, except)
 	t.recordStranded(now, route, u)
 	if u == nil {
 		return t.resetIfCurrent(now, t.refusalReason(route))
--- a/tagger/place.go
+++ b/tagger/place.go
@@ -8,10 +8,10 @@
 	"example.org/rattanwood/placer"
 )
 
-// chooseUpstream returns the upstream for a new flow, or nil if there is none. It returns the upstream except,
-// which may be zero, only if there is no other.
-func (t *Tagger) chooseUpstream(now time.Duration, route *rattanwood.Route, except rattanwood.UpstreamID) *upstream {
-	pool := t.eligibleUpstreams(now, route, t.drawService(route))
+// chooseUpstream returns the upstream of a service for a new flow of a route, or nil if there is none. It returns the
+// upstream except, which may be zero, only if there is no other.
+func (t *Tagger) chooseUpstream(now time.Duration, route *rattanwood.Route, service rattanwood.ServiceID, except rattanwood.UpstreamID) *upstream {
+	pool := t.eligibleUpstreams(now, route, service)
 	if len(pool) > 1 {
 		pool = slices.DeleteFunc(pool, func(u *upstream) bool { return u.id == except })
 	}
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -24,8 +24,10 @@
 	segment rattanwood.Segment
 	// packet holds the bytes of the first packet while the flow is opening.
 	packet []byte
-	// placedAt is when the flow's first packet was forwarded to upstream.
-	placedAt time.Duration
+	// placedAt is when the flow's first packet was first forwarded to upstream, and retransmitted is set if it was
+	// forwarded again.
+	placedAt      time.Duration
+	retransmitted bool
 	// lastSeen is the time of the newest packet.
 	lastSeen time.Duration
 	// stage is that of the last request, requestAck its acknowledgement number, and latestAck the
@@ -36,6 +38,8 @@
 	// opened is set if the flow's first packet arrived here, and requests counts its requests since.
 	opened   bool
 	requests int
+	// latency is the time until the last response began; zero means unknown.
+	latency time.Duration
 }
 
 func (t *Tagger) rememberFlow(now time.Duration, s rattanwood.Segment, id rattanwood.UpstreamID, packet []byte) {
@@ -62,6 +66,9 @@
 		t.recentFlows[key] = r
 	}
 	if r.opening {
+		if !r.retransmitted && t.cfg.Admission != nil && !t.IsResuming(now) {
+			t.averagesOf(key.target).recordRoundTrip(now - r.placedAt)
+		}
 		t.answeredPlacedAt = max(t.answeredPlacedAt, r.placedAt)
 		t.cfg.Rotator.RecordAnswered(now)
 		if u := t.upstreams[s.Tag]; u != nil {
@@ -97,12 +104,12 @@
 		if route == nil {
 			continue
 		}
-		u := t.chooseUpstream(now, route, id)
+		u := t.chooseUpstream(now, route, t.drawService(route), id)
 		if u == nil || u.id == id {
 			continue
 		}
 		t.cfg.Placer.AddFlow(now, u.id, t.expectedRequests(r.segment.Target))
-		r.upstream, r.placedAt = u.id, now
+		r.upstream, r.placedAt, r.retransmitted = u.id, now, true
 		t.counts[Forward][Reassigned]++
 		out = append(out, OutgoingPacket{Verdict: forward(now, u, Reassigned), Segment: r.segment, Packet: r.packet})
 	}
