--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -176,7 +176,7 @@
 		rank = excessLevel
 	}
 	l := s.level(now, rank)
-	l.offers.add(now, 1)
+	l.offers.add(now)
 	if now-s.evaluatedAt >= evaluationInterval {
 		a.evaluate(now, s)
 	}
@@ -191,8 +191,8 @@
 		}
 	}
 	if d.Admit {
-		l.admissions.add(now, 1)
-		s.level(now, d.Level).flows.add(now, 1)
+		l.admissions.add(now)
+		s.level(now, d.Level).flows.add(now)
 	}
 	return d
 }
@@ -216,7 +216,7 @@
 		return
 	}
 	l := s.level(now, LevelOf(o.Class))
-	l.requests.add(now, 1)
+	l.requests.add(now)
 	l.addWork(s, max(latency-roundTrip, 0).Seconds())
 	s.record(now, o.Class.Target > 0 && latency > o.Class.Target)
 }
@@ -227,7 +227,7 @@
 	if s == nil {
 		return
 	}
-	s.level(now, LevelOf(o.Class)).requests.add(now, 1)
+	s.level(now, LevelOf(o.Class)).requests.add(now)
 	s.record(now, true)
 }
 
--- a/admitter/capacity.go
+++ b/admitter/capacity.go
@@ -26,7 +26,7 @@
 	// make the service look small.
 	minDip = 0.45
 	// consensusWindow is the time in which a balancer's factor approaches what the others admit.
-	consensusWindow = 2 * time.Second
+	consensusWindow = 1 * time.Second
 	// refusingShare is the share of the fleet's demand that is admitted below which the fleet counts as
 	// refusing.
 	refusingShare = 0.9
@@ -96,7 +96,7 @@
 // overload. Below the limit it falls further only while upstreams have queues: failures without them aren't
 // due to load.
 func (s *service) record(now time.Duration, failed bool) {
-	s.tries.add(now, 1)
+	s.tries.add(now)
 	x := 0.0
 	if failed {
 		x = 1
--- a/admitter/demand.go
+++ b/admitter/demand.go
@@ -28,8 +28,8 @@
 	at     time.Duration
 }
 
-func (m *meter) add(now time.Duration, n float64) {
-	m.count = m.decayed(now) + n
+func (m *meter) add(now time.Duration) {
+	m.count = m.decayed(now) + 1
 	m.at = now
 }
 
