--- a/standins/soaker/monitor.go
+++ b/standins/soaker/monitor.go
@@ -44,7 +44,8 @@
 	// ended, by the part's name.
 	faultEnds map[string]time.Time
 	// rewoundAt is when the last rewind of the store began.
-	rewoundAt time.Time
+	rewoundAt  time.Time
+	evacuation evacuation
 	// routeHistory holds every route that each address has had, oldest first.
 	routeHistory map[string][]routeChange
 	openings     map[flowEnds]*flowOpening
@@ -150,8 +151,8 @@
 
 // checkFirstPacket checks a flow's first packet that has reached an upstream: a Caller opened the flow,
 // and its address was routed to the upstream's service at some time. Unless the store or a balancer on
-// the way had a recent fault, the route must also be current and the upstream not draining, both with
-// applyDeadline as tolerance.
+// the way had a recent fault, the route must also be current, the upstream not draining and its data
+// centre not evacuated, all with applyDeadline as tolerance.
 func (m *monitor) checkFirstPacket(u *upstream, key flowEnds, drainingSince time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -175,6 +176,9 @@
 	if faultFree && !drainingSince.IsZero() && knownBeforeRewind(drainingSince) && opening.openedAt.After(drainingSince.Add(applyDeadline)) {
 		m.recordViolationLocked("a draining upstream got a new flow", u.name())
 	}
+	if e := m.evacuation; faultFree && u.centre == dataCentre && !e.since.IsZero() && knownBeforeRewind(e.since) && opening.openedAt.After(e.since.Add(applyDeadline)) {
+		m.recordViolationLocked("an evacuated data centre got a new flow", u.name())
+	}
 	if service, changedAt := m.currentRoute(key.target.String()); faultFree && service != u.service && knownBeforeRewind(changedAt) && opening.openedAt.After(changedAt.Add(applyDeadline)) {
 		m.recordViolationLocked("a new flow went by a route that was changed", key)
 	}
--- a/standins/soaker/schedule.go
+++ b/standins/soaker/schedule.go
@@ -49,6 +49,7 @@
 	{"route", (*soakRun).newRouteEvent},
 	{"ill", (*soakRun).newFailingRequestsEvent},
 	{"rewind", (*soakRun).newRewindEvent},
+	{"evacuate", (*soakRun).newEvacuationEvent},
 }
 
 // newBalancerEvent returns an event on a random balancer that no other event acts on.
@@ -113,6 +114,7 @@
 		}
 	}
 	return event{fmt.Sprint("kill ", len(reserved)), func(ctx context.Context) error {
+		s.forgetLostEvacuation()
 		var group errgroup.Group
 		for _, b := range reserved {
 			group.Go(func() error {
@@ -166,7 +168,7 @@
 	u := upstreams[i]
 	if replace {
 		s.upstreamsByService[service] = append(upstreams[:i:i], upstreams[i+1:]...)
-		if err := s.addUpstream(service); err != nil {
+		if err := s.addUpstream(service, u.centre); err != nil {
 			return event{name, func(context.Context) error { return err }}, true
 		}
 	}
@@ -243,6 +245,7 @@
 		s.reregisterUpstreams(true)
 		sleep(ctx, registrationLease-rewritten)
 		s.reregisterUpstreams(false)
+		s.rewriteEvacuation()
 		return nil
 	}}, true
 }
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -111,6 +111,8 @@
 	// lastInstance is the highest instance ID in use. Its low byte is the host number of the upstream's
 	// addresses.
 	lastInstance rattanwood.InstanceID
+	// hasSecondDataCentre is set once there are upstreams in secondDataCentre.
+	hasSecondDataCentre bool
 	// activeRoutes maps addresses to services, as in the last version of the routing.
 	activeRoutes   map[string]rattanwood.ServiceID
 	routingVersion rattanwood.Version
@@ -241,12 +243,12 @@
 		return err
 	}
 	for range 6 {
-		if err := s.addUpstream(serviceSwap); err != nil {
+		if err := s.addUpstream(serviceSwap, dataCentre); err != nil {
 			return err
 		}
 	}
 	for range 3 {
-		if err := s.addUpstream(serviceMaps); err != nil {
+		if err := s.addUpstream(serviceMaps, dataCentre); err != nil {
 			return err
 		}
 	}
@@ -280,11 +282,11 @@
 	_ = s.router.conn.Close()
 }
 
-// addUpstream starts an upstream of a service and registers it.
-func (s *soakRun) addUpstream(service rattanwood.ServiceID) error {
+// addUpstream starts an upstream of a service in a data centre and registers it.
+func (s *soakRun) addUpstream(service rattanwood.ServiceID, centre rattanwood.DataCentre) error {
 	s.lastInstance++
 	host := int(s.lastInstance & 0xff)
-	u, err := newUpstream(s.monitor, s.lastInstance, service, s.ip(43, host)+":8080", s.ip(44, host)+":8080")
+	u, err := newUpstream(s.monitor, s.lastInstance, service, centre, s.ip(43, host)+":8080", s.ip(44, host)+":8080")
 	if err != nil {
 		return err
 	}
--- a/standins/soaker/upstream.go
+++ b/standins/soaker/upstream.go
@@ -20,8 +20,11 @@
 	serviceMaps rattanwood.ServiceID = "maps"
 )
 
-// dataCentre is the one that all balancers and upstreams are in.
-const dataCentre = "east"
+// dataCentre is the one that all balancers are in, and all upstreams but those that an evacuation needs.
+const (
+	dataCentre       = "east"
+	secondDataCentre = "west"
+)
 
 // requestDuration is how long an upstream takes to answer a request.
 const requestDuration = 5 * time.Millisecond
@@ -40,6 +43,7 @@
 	monitor      *monitor
 	id           rattanwood.InstanceID
 	service      rattanwood.ServiceID
+	centre       rattanwood.DataCentre
 	link         *link
 	udp          *net.UDPConn
 	healthServer *http.Server
@@ -82,8 +86,8 @@
 }
 
 // newUpstream starts an upstream at ownAddress behind a link that listens at linkAddress.
-func newUpstream(m *monitor, id rattanwood.InstanceID, service rattanwood.ServiceID, linkAddress, ownAddress string) (*upstream, error) {
-	u := &upstream{monitor: m, id: id, service: service, startedAt: time.Now(), flows: map[flowEnds]*upstreamFlow{}}
+func newUpstream(m *monitor, id rattanwood.InstanceID, service rattanwood.ServiceID, centre rattanwood.DataCentre, linkAddress, ownAddress string) (*upstream, error) {
+	u := &upstream{monitor: m, id: id, service: service, centre: centre, startedAt: time.Now(), flows: map[flowEnds]*upstreamFlow{}}
 	address, err := net.ResolveUDPAddr("udp4", ownAddress)
 	if err != nil {
 		return nil, err
@@ -109,7 +113,7 @@
 // register writes the upstream's registration to the store.
 func (u *upstream) register() {
 	value := emulator.EncodeRegistration(rattanwood.Registration{
-		Service: u.service, Address: netip.MustParseAddrPort(u.link.listenAddress), DataCentre: dataCentre,
+		Service: u.service, Address: netip.MustParseAddrPort(u.link.listenAddress), DataCentre: u.centre,
 		Slots: 2, Draining: u.isDraining(), StartTime: u.startedAt.UnixMilli(),
 	}, int(u.registrations.Add(1)))
 	u.registration.Store(&value)
