Call a flow evacuated only if an evacuated upstream was left out

A split whose drawn service was empty was refused as evacuated when another service of the route was well. Seen red with the check left out (TestEmptyServiceOfSplitIsNotEvacuated).

--- a/tagger/allow.go
+++ b/tagger/allow.go
@@ -14,12 +14,12 @@
 }
 
 // refusalReason returns why none of a route's upstreams may take a new flow.
-func (t *Tagger) refusalReason(route *rattanwood.Route) Reason {
+func (t *Tagger) refusalReason(now time.Duration, route *rattanwood.Route) Reason {
 	reason := NoUpstream
 	for _, s := range route.Shares {
 		for _, u := range t.upstreamsOf(s.Service) {
 			switch {
-			case !u.registered || u.Draining:
+			case !u.registered || u.Draining || t.allowed(now, route, u):
 			case t.cfg.Confiner.Allows(route, u.DataCentre):
 				return Evacuated
 			default:
--- a/tagger/evacuation_test.go
+++ b/tagger/evacuation_test.go
@@ -171,3 +171,22 @@
 		c.Assert(p.Instance, qt.Equals, instance(4))
 	}
 }
+
+// TestEmptyServiceOfSplitIsNotEvacuated has a route lead to a service without upstreams and to one that is well.
+func TestEmptyServiceOfSplitIsNotEvacuated(t *testing.T) {
+	c := qt.New(t)
+	f := newDividedFixture()
+	r := routing(2)
+	for i := range r.Routes {
+		r.Routes[i].Shares = append(r.Routes[i].Shares, rattanwood.Share{Service: "empty", Weight: 1})
+	}
+	f.SetRouting(r)
+	refused := 0
+	for caller := 1; caller < 100; caller++ {
+		if v := f.sendFirst(caller, board); v.Action != tagger.Forward {
+			refused++
+			c.Assert(v.Reason, qt.Equals, tagger.NoUpstream)
+		}
+	}
+	c.Assert(refused > 10, qt.IsTrue)
+}
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -58,7 +58,7 @@
 	u := t.chooseUpstream(now, route, service, except)
 	t.recordStranded(now, route, u)
 	if u == nil {
-		return t.resetIfCurrent(now, t.refusalReason(route))
+		return t.resetIfCurrent(now, t.refusalReason(now, route))
 	}
 	t.cfg.Placer.AddFlow(now, u.id, t.expectedRequests(s.Target))
 	t.rememberFlow(now, s, u.id, packet)
