Keep the first rank of an upstream until a member changes

Each balancer ranked all upstreams once a second to know which it checks: at 47,000 upstreams and 690 members that took a core. Now the first-ranked balancer of each upstream is kept. The detector counts the changes that matter (Generation); a member that joins is compared with the kept one, and only upstreams whose first is lost are ranked again. Assignments that nobody asks for are dropped after one to two minutes. A change takes effect at once instead of within a second.

TestAssignmentsMatchNaiveRanking compares with a ranking of all members while these join, leave, die and live again. Seen red without counting changes of a data centre, of a death, of leaving; without comparing those that joined; and without ranking for those that were lost. TestAssignmentsOfFormerUpstreamsAreForgotten is red without dropping them.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -126,6 +126,8 @@
 	// again.
 	cachedDigest uint64
 	digestStale  bool
+	// generation counts the changes that Generation tells of.
+	generation uint64
 	// news holds for each member of which there is news the number of rounds in which it is still sent.
 	news map[rattanwood.VMID]int
 	// changes are those for TakeChanges.
@@ -141,6 +143,7 @@
 		news:        map[rattanwood.VMID]int{},
 		random:      rand.New(rand.NewPCG(cfg.Seed, ranker.Seed(string(cfg.Self)))),
 		digestStale: true,
+		generation:  1,
 	}
 }
 
@@ -349,6 +352,9 @@
 		if m.State == Dead {
 			d.recordChange(now, m, Revived, false)
 		}
+		if m.Leaving != b.Leaving {
+			d.generation++
+		}
 		m.State = Alive
 		m.Leaving = b.Leaving
 		d.digestStale = true
--- a/detector/memberlist.go
+++ b/detector/memberlist.go
@@ -62,6 +62,7 @@
 	if !known {
 		m = &Member{VM: vm, DataCentre: centre, Seed: ranker.Seed(string(vm))}
 		d.digestStale = true
+		d.generation++
 		d.members[vm] = m
 		i, _ := slices.BinarySearchFunc(d.sorted, vm, func(m *Member, vm rattanwood.VMID) int { return strings.Compare(string(m.VM), string(vm)) })
 		d.sorted = slices.Insert(d.sorted, i, m)
@@ -77,6 +78,7 @@
 	if centre != "" && m.DataCentre != centre {
 		m.DataCentre = centre
 		d.digestStale = true
+		d.generation++
 	}
 }
 
@@ -106,11 +108,16 @@
 		forget := !listed[m.VM] && (m.State == Dead || m.State == Listed)
 		if forget {
 			delete(d.members, m.VM)
+			d.generation++
 		}
 		return forget
 	})
 }
 
+// Generation returns a number that grows whenever a member joins, dies, lives again, begins or stops to
+// leave, is forgotten, or names another data centre. It is at least one.
+func (d *Detector) Generation() uint64 { return d.generation }
+
 // Members returns all other members in the order of their names.
 func (d *Detector) Members() []*Member { return d.sorted }
 
--- a/detector/news.go
+++ b/detector/news.go
@@ -67,6 +67,7 @@
 // recordChange keeps a change for TakeChanges. All but Forgotten are sent to others as news.
 func (d *Detector) recordChange(now time.Duration, m *Member, kind ChangeKind, told bool) {
 	d.digestStale = true
+	d.generation++
 	if !d.cfg.Sparse {
 		return
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -37,10 +37,6 @@
 	// namesSpreadInterval is the shortest time between two early rounds of heartbeats because members
 	// became known. Four rounds suffice for a fleet of 300.
 	namesSpreadInterval = 300 * time.Millisecond
-	// assignmentTTL is how long results of ChecksUpstream are cached. For that time after a balancer
-	// joins or is lost, an upstream may be checked by two balancers or by none. It is a third of the
-	// prober's RecheckPeriod, and ranking all upstreams once in that time costs next to nothing.
-	assignmentTTL = time.Second
 	// remoteLoadRounds is the number of regular rounds of heartbeats of which one carries loads to
 	// other data centres.
 	remoteLoadRounds = 3
@@ -146,10 +142,10 @@
 	fetchStarted          time.Duration
 	// sentFailures are the failures of each upstream that were reported since lastFull.
 	sentFailures map[rattanwood.UpstreamID]float64
-	// assignments caches the results of ChecksUpstream since assignedAt.
-	assignments map[rattanwood.UpstreamID]bool
-	assignedAt  time.Duration
-	settling    settling
+	// assignments holds the checkers of upstreams among the members as of rankedGeneration.
+	assignments      *assignments
+	rankedGeneration uint64
+	settling         settling
 }
 
 // settling tells when the member list of a balancer that has just started is complete enough to rank
@@ -184,7 +180,7 @@
 		Limiter:      limiter.New(cfg.Limiter),
 		Packer:       NewPacker(),
 		sentFailures: map[rattanwood.UpstreamID]float64{},
-		assignments:  map[rattanwood.UpstreamID]bool{},
+		assignments:  newAssignments(),
 	}
 }
 
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -119,7 +119,7 @@
 // ReaderRank returns how many balancers come before this one in the order in which they take over
 // reading the source.
 func (m *Messenger) ReaderRank() int {
-	return m.countHigherRanked(readerKey, func(*detector.Member) bool { return true })
+	return m.countHigherRanked(readerKey)
 }
 
 // ReaderID returns the identity of this incarnation as a reader of the source.
@@ -131,31 +131,37 @@
 var readerKey = ranker.Seed("reader")
 
 // ChecksUpstream reports whether this balancer is the one of its own data centre that checks an
-// upstream, wherever the upstream is. The result may be assignmentTTL old. No balancer is until its list of
+// upstream, wherever the upstream is. No balancer is until its list of
 // members is complete or has had the time to become so.
 func (m *Messenger) ChecksUpstream(now time.Duration, id rattanwood.UpstreamID) bool {
 	if !m.settling.done {
 		return false
 	}
-	if now-m.assignedAt >= assignmentTTL {
-		m.assignedAt = now
-		clear(m.assignments)
+	if generation := m.Members.Generation(); m.rankedGeneration != generation {
+		m.rankedGeneration = generation
+		m.assignments.setBalancers(m.localBalancers())
 	}
-	highest, ok := m.assignments[id]
-	if !ok {
-		highest = m.countHigherRanked(uint64(id), func(d *detector.Member) bool { return d.DataCentre == m.cfg.Detector.DataCentre }) == 0
-		m.assignments[id] = highest
+	return m.assignments.firstFor(now, id) == m.seed
+}
+
+// localBalancers returns the hashes of the names of the eligible balancers in this data centre, this one included.
+func (m *Messenger) localBalancers() []uint64 {
+	seeds := []uint64{m.seed}
+	for _, d := range m.Members.Members() {
+		if eligible(d) && d.DataCentre == m.cfg.Detector.DataCentre {
+			seeds = append(seeds, d.Seed)
+		}
 	}
-	return highest
+	return seeds
 }
 
-// countHigherRanked returns the number of eligible members that match and that rendezvous hashing
-// ranks above this balancer for a key.
-func (m *Messenger) countHigherRanked(key uint64, match func(*detector.Member) bool) int {
+// countHigherRanked returns the number of eligible members that rendezvous hashing ranks above this
+// balancer for a key.
+func (m *Messenger) countHigherRanked(key uint64) int {
 	own := ranker.Score(key, m.seed)
 	higher := 0
 	for _, d := range m.Members.Members() {
-		if eligible(d) && match(d) && ranker.Score(key, d.Seed) > own {
+		if eligible(d) && ranker.Score(key, d.Seed) > own {
 			higher++
 		}
 	}
