--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -61,7 +61,7 @@
 		UsualWindow:     5 * time.Minute,
 		CallerExcess:    2,
 		// Of requests with three tries, 2 in 100 then fail.
-		LossTarget: 0.27,
+		LossTarget: 0.26,
 		Random:     random,
 	}
 }
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -117,6 +117,15 @@
 	qt.Check(t, d.Reason, qt.Equals, admitter.Room)
 }
 
+// TestNoEvidence answers a demand of several times the slots by the measured work, which upstreams serve all the same.
+func TestNoEvidence(t *testing.T) {
+	a := newAdmitter()
+	a.SetSlots(0, service, 2)
+	measure(a, 0, patient)
+	_, admitted := press(a, 0, patient, 1500, 0)
+	qt.Assert(t, admitted > 0.999, qt.IsTrue, qt.Commentf("admitted %.3f", admitted))
+}
+
 // TestLongFlows counts the flows of a kind by the requests that they send.
 func TestLongFlows(t *testing.T) {
 	a := newAdmitter()
--- a/admitter/capacity.go
+++ b/admitter/capacity.go
@@ -32,11 +32,11 @@
 	refusingShare = 0.9
 	// lossSamples is the number of tries that the loss is averaged over, and delaySamples the same for
 	// the delay.
-	lossSamples, delaySamples = 32, 64
+	lossSamples, delaySamples = 32, 256
 	// usualSamples is the number of tries at the limit that the usual factor is averaged over.
 	usualSamples = 96
 	// congestionDelay is the ratio of the present to the unloaded work from which on upstreams have queues.
-	congestionDelay = 1.2
+	congestionDelay = 1.3
 )
 
 // service is the state of one service.
@@ -93,8 +93,8 @@
 // target.
 //
 // The factor is high until upstreams turn too many away, and then starts from the one that held at the last
-// overload. Below the limit it falls further only while upstreams have queues: failures without them aren't
-// due to load.
+// overload. Where the demand is below the limit and the slots it falls further only while upstreams have queues:
+// other failures aren't due to load.
 func (s *service) record(now time.Duration, failed bool) {
 	s.tries.add(now)
 	x := 0.0
@@ -105,7 +105,7 @@
 	if start := max(s.usualFactor, startFactor); s.limit > 0 && s.factor > start && !s.isLimiting() && s.loss > s.overloadLoss(start) {
 		s.factor = start
 	}
-	if failed && !s.isLimiting() && s.delay < congestionDelay {
+	if failed && !s.isLimiting() && s.load < s.slots && s.delay < congestionDelay {
 		return
 	}
 	step := min(factorRate/max(s.tries.rate(now), 1), maxStep)
