Avoid silent upstreams until they answer, and leave the rotation on silence from elsewhere

Cause: little-room still had a median of 241 ms in seconds 8 to 10: upstreams that had been silent were eligible again after a second, and those of other data centres became known only by own checks, of which a node makes 40 and then 5 a second. Change: silence lasts until an answered flow or a passed check, 5 s at most; reports by balancers of the upstream's data centre count for new flows; the rotator goes by flows that stay unanswered and by heartbeats from elsewhere. Ruled out: more checks a second, which cost small nodes most.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -102,7 +102,10 @@
 	}
 	sameDataCentre := string(heartbeat.DataCentre) == n.cfg.Settings.DataCentre
 	for _, id := range heartbeat.Failing {
-		n.prober.AddPeerReport(now, id, prober.PeerReport{SameDataCentre: sameDataCentre, Dead: slices.Contains(heartbeat.Dead, id)})
+		r, _, _ := n.tagger.Upstream(id)
+		n.prober.AddPeerReport(now, id, prober.PeerReport{
+			SameDataCentre: sameDataCentre, AtUpstream: heartbeat.DataCentre == r.DataCentre, Dead: slices.Contains(heartbeat.Dead, id),
+		})
 	}
 }
 
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -159,6 +159,8 @@
 	Packer   *Packer
 	actions  []Action
 	lastPull time.Duration
+	// lastRemote is when a heartbeat from another data centre last arrived.
+	lastRemote time.Duration
 	// lastNamesSpread is when heartbeats were last triggered because members became known.
 	lastNamesSpread time.Duration
 	// lastFull is when heartbeats last carried the whole payload; those between two regular rounds
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"example.org/rattanwood"
@@ -61,6 +62,9 @@
 	if !ok {
 		return Heartbeat{}, false
 	}
+	if sender.DataCentre != m.cfg.Detector.DataCentre {
+		m.lastRemote = now
+	}
 	m.settling.agreed = m.settling.agreed || !diff.Members
 	if diff.Members && (m.lastPull == 0 || now-m.lastPull >= pullInterval) {
 		m.lastPull = now
@@ -106,6 +110,17 @@
 	return d.State != detector.Dead && !d.Leaving && d.DataCentre != ""
 }
 
+// HearsOtherDataCentre reports whether a balancer of another data centre was heard within two intervals of
+// heartbeats, or none is known. Each balancer has several neighbours there.
+func (m *Messenger) HearsOtherDataCentre(now time.Duration) bool {
+	if m.lastRemote != 0 && now-m.lastRemote <= 2*m.cfg.Detector.HeartbeatInterval {
+		return true
+	}
+	return !slices.ContainsFunc(m.Members.Members(), func(other *detector.Member) bool {
+		return other.DataCentre != "" && other.DataCentre != m.cfg.Detector.DataCentre
+	})
+}
+
 // BalancersPerDataCentre returns the number of balancers in each data centre, this one included.
 func (m *Messenger) BalancersPerDataCentre() map[rattanwood.DataCentre]int {
 	sizes := map[rattanwood.DataCentre]int{m.cfg.Detector.DataCentre: 1}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -176,8 +176,8 @@
 	deadReported bool
 	// lastCheck is when the last check began.
 	lastCheck time.Duration
-	// lastPeerReport is when a peer in the same data centre last reported that the upstream fails,
-	// and peerReportsSince when such reports began.
+	// lastPeerReport is when a peer in the same data centre, or in that of the upstream, last reported that the
+	// upstream fails, and peerReportsSince when such reports began.
 	lastPeerReport, peerReportsSince time.Duration
 	// lastPassed is when the last check that passed began.
 	lastPassed time.Duration
@@ -246,12 +246,14 @@
 	// SameDataCentre is true if the peer is in this balancer's data centre, so that its packets take
 	// the same network paths.
 	SameDataCentre bool
+	// AtUpstream is true if the peer is in the upstream's data centre, whose balancers reach it best.
+	AtUpstream bool
 	// Dead is true if the peer has proof that the upstream is dead.
 	Dead bool
 }
 
-// AddPeerReport records a peer report and requests a check. If the peer is in the same data centre,
-// new flows avoid the upstream until it passes a check: where many upstreams die at once, each
+// AddPeerReport records a peer report and requests a check. If the peer is in the same data centre, or in that
+// of the upstream, new flows avoid the upstream until it passes a check: where many upstreams die at once, each
 // balancer needs long to check them all.
 func (p *Prober) AddPeerReport(now time.Duration, id rattanwood.UpstreamID, report PeerReport) {
 	r := p.upstreams[id]
@@ -262,7 +264,7 @@
 	if !r.shouldAvoid() || confirmedDead && !r.isDead() {
 		r.peerReported, r.peerConfirmedDead = true, r.peerConfirmedDead || confirmedDead
 	}
-	if !report.SameDataCentre {
+	if !report.SameDataCentre && !report.AtUpstream {
 		return
 	}
 	if r.lastPeerReport == 0 || now-r.lastPeerReport > p.cfg.PeerReportTTL {
@@ -432,6 +434,12 @@
 	return r.shouldAvoid() || reported
 }
 
+// PassedSince reports whether a check of the upstream that began after a time has passed.
+func (p *Prober) PassedSince(id rattanwood.UpstreamID, since time.Duration) bool {
+	r := p.upstreams[id]
+	return r != nil && r.lastPassed > since
+}
+
 // IsDead reports whether the upstream is proved dead, so that its flows can't continue from here.
 func (p *Prober) IsDead(id rattanwood.UpstreamID) bool {
 	r := p.upstreams[id]
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -238,6 +238,8 @@
 		"a peer in the data centre is right": {sameDataCentre, prober.Refused, true, true},
 		"a peer in the data centre is wrong": {sameDataCentre, prober.Passed, true, false},
 		"a peer elsewhere is cut off":        {prober.PeerReport{}, prober.Passed, false, false},
+		"a peer at the upstream is right":    {prober.PeerReport{AtUpstream: true}, prober.Refused, true, true},
+		"a peer at the upstream is wrong":    {prober.PeerReport{AtUpstream: true, Dead: true}, prober.Passed, true, false},
 		"this balancer is delayed":           {sameDataCentre, prober.Inconclusive, true, true},
 	}
 	for name, test := range tests {
--- a/rotator/rotator.go
+++ b/rotator/rotator.go
@@ -8,71 +8,68 @@
 // A Rotator has no clock, socket or goroutine and isn't safe for concurrent use.
 package rotator
 
-import (
-	"time"
-
-	"example.org/rattanwood"
-)
+import "time"
 
 const (
-	// window is the time over which events are counted. Within it, checks tell upstreams that are out of reach.
+	// answerTime is how long an upstream may take to answer a first packet, beyond any usual round trip.
+	answerTime = 300 * time.Millisecond
+	// window is the time over which events are counted, without the flows that may yet be answered.
 	window = time.Second
-	// minStranded is the number of flows without a usable upstream in a window from which on a balancer leaves. A single
-	// one may have been placed while its upstream was failing.
-	minStranded = 3
+	// minAway is the number of flows to other data centres in a window from which on a balancer may leave. A single
+	// one may have met a dead upstream.
+	minAway = 3
 	// minAbsence is the shortest time out of rotation: the fabric needs as long to notice.
 	minAbsence = time.Second
 )
 
-// counter counts events in a window by parts of it.
+const (
+	partTime  = 100 * time.Millisecond
+	partCount = int((window + answerTime) / partTime)
+)
+
+// counter counts events in the latest parts of time.
 type counter struct {
-	parts  [10]int
-	newest time.Duration
+	parts  [partCount]int
+	newest int
 }
 
-const partTime = window / time.Duration(len(counter{}.parts))
-
-// advance empties the parts that have left the window.
+// advance empties the parts that have become too old.
 func (c *counter) advance(now time.Duration) {
-	part := now / partTime
-	for steps := min(part-c.newest, time.Duration(len(c.parts))); steps > 0; steps-- {
-		c.parts[(part-steps+1)%time.Duration(len(c.parts))] = 0
+	part := int(now / partTime)
+	for steps := min(part-c.newest, partCount); steps > 0; steps-- {
+		c.parts[(part-steps+1)%partCount] = 0
 	}
 	c.newest = max(c.newest, part)
 }
 
 func (c *counter) add(now time.Duration) {
 	c.advance(now)
-	c.parts[c.newest%time.Duration(len(c.parts))]++
+	c.parts[c.newest%partCount]++
 }
 
-func (c *counter) sum(now time.Duration) int {
+// sum returns the number of events, without those of the newest parts that skip covers.
+func (c *counter) sum(now, skip time.Duration) int {
 	c.advance(now)
 	total := 0
-	for _, n := range c.parts {
-		total += n
+	for part := c.newest - int(skip/partTime); part > c.newest-partCount && part >= 0; part-- {
+		total += c.parts[part%partCount]
 	}
 	return total
 }
 
 // Rotator holds the state of one balancer.
 type Rotator struct {
-	stranded, answered, requests counter
-	// services are those of the flows that found no usable upstream, since the last time that all were usable.
-	services map[rattanwood.ServiceID]bool
-	left     bool
-	leftAt   time.Duration
+	away, answered, requests counter
+	left                     bool
+	leftAt                   time.Duration
 }
 
 // New returns a Rotator of a balancer in rotation.
-func New() *Rotator { return &Rotator{services: map[rattanwood.ServiceID]bool{}} }
+func New() *Rotator { return &Rotator{} }
 
-// RecordStranded counts a first packet for a service that has no upstream in the own data centre which may take it,
-// and none elsewhere which passes its checks.
-func (r *Rotator) RecordStranded(now time.Duration, service rattanwood.ServiceID) {
-	r.stranded.add(now)
-	r.services[service] = true
-}
+// RecordAway counts a flow that was placed in another data centre because the own one has no upstream that may take
+// it.
+func (r *Rotator) RecordAway(now time.Duration) { r.away.add(now) }
 
 // RecordAnswered counts a flow whose upstream has answered the first packet.
 func (r *Rotator) RecordAnswered(now time.Duration) { r.answered.add(now) }
@@ -80,19 +77,14 @@
 // RecordRequest counts a request on an established flow.
 func (r *Rotator) RecordRequest(now time.Duration) { r.requests.add(now) }
 
-// Update decides anew and reports whether the balancer should be in rotation, and whether that has changed. Usable
-// reports whether a service has an upstream that may take new flows and passes its checks.
-func (r *Rotator) Update(now time.Duration, usable func(rattanwood.ServiceID) bool) (stays, changed bool) {
-	for service := range r.services {
-		if usable(service) {
-			delete(r.services, service)
-		}
-	}
-	stranded := r.stranded.sum(now)
+// Update decides anew and reports whether the balancer should be in rotation, and whether that has changed. Reachable
+// tells whether a balancer of another data centre was heard lately.
+func (r *Rotator) Update(now time.Duration, reachable bool) (stays, changed bool) {
+	away := r.away.sum(now, answerTime)
 	switch {
-	case r.left && len(r.services) == 0 && now-r.leftAt >= minAbsence:
+	case r.left && reachable && now-r.leftAt >= minAbsence:
 		r.left, changed = false, true
-	case !r.left && len(r.services) > 0 && stranded >= minStranded && r.answered.sum(now) == 0 && stranded > r.requests.sum(now):
+	case !r.left && !reachable && away >= minAway && r.answered.sum(now, 0) == 0 && away > r.requests.sum(now, 0):
 		r.left, r.leftAt, changed = true, now, true
 	}
 	return !r.left, changed
--- a/tagger/allow.go
+++ b/tagger/allow.go
@@ -1,7 +1,6 @@
 package tagger
 
 import (
-	"slices"
 	"time"
 
 	"example.org/rattanwood"
@@ -30,28 +29,16 @@
 	return reason
 }
 
-// recordStranded tells the rotator of a new flow without a usable upstream: u, which may be nil, fails its checks, and
-// the own data centre has none that may take the flow.
-func (t *Tagger) recordStranded(now time.Duration, route *rattanwood.Route, u *upstream) {
-	if u != nil && t.isUsable(now, u) {
+// recordAway tells the rotator of a new flow on an upstream of another data centre, if the own one has none that may
+// take it.
+func (t *Tagger) recordAway(now time.Duration, route *rattanwood.Route, u *upstream) {
+	if u == nil || u.DataCentre == t.cfg.DataCentre {
 		return
 	}
-	for _, s := range route.Shares {
-		for _, other := range t.upstreamsOf(s.Service) {
-			if other.DataCentre == t.cfg.DataCentre && other.registered && !other.Draining && t.allowed(now, route, other) {
-				return
-			}
+	for _, other := range t.upstreamsOf(u.Service) {
+		if other.DataCentre == t.cfg.DataCentre && other.registered && !other.Draining && t.allowed(now, route, other) {
+			return
 		}
 	}
-	t.cfg.Rotator.RecordStranded(now, route.Shares[0].Service)
-}
-
-// isUsable reports whether an upstream can take new flows.
-func (t *Tagger) isUsable(now time.Duration, u *upstream) bool {
-	return u.registered && !u.Draining && !t.cfg.Evacuator.Evacuated(u.DataCentre) && !t.cfg.Prober.ShouldAvoid(now, u.id) && !u.isSilent(now)
-}
-
-// HasUsable reports whether a service has an upstream that can take new flows.
-func (t *Tagger) HasUsable(now time.Duration, service rattanwood.ServiceID) bool {
-	return slices.ContainsFunc(t.upstreamsOf(service), func(u *upstream) bool { return t.isUsable(now, u) })
+	t.cfg.Rotator.RecordAway(now)
 }
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -38,13 +38,13 @@
 	r := t.recentFlows[keyOf(s)]
 	if r != nil && r.opening {
 		t.cfg.Prober.ReportSuspicion(r.upstream)
-		silent := t.isSilent(r)
+		unanswered := t.isUnanswered(r)
 		u := t.upstreams[r.upstream]
-		if u != nil && !silent && !t.cfg.Prober.ShouldAvoid(now, r.upstream) && t.allowed(now, route, u) {
+		if u != nil && !unanswered && !t.cfg.Prober.ShouldAvoid(now, r.upstream) && t.allowed(now, route, u) {
 			r.lastSeen, r.retransmitted = now, true
 			return forward(now, u, Retransmitted)
 		}
-		if u != nil && silent {
+		if u != nil && unanswered {
 			u.silentAt = now
 		}
 		reason, except = Reassigned, r.upstream
@@ -56,7 +56,7 @@
 		}
 	}
 	u := t.chooseUpstream(now, route, service, except)
-	t.recordStranded(now, route, u)
+	t.recordAway(now, route, u)
 	if u == nil {
 		return t.resetIfCurrent(now, t.refusalReason(now, route))
 	}
--- a/tagger/place.go
+++ b/tagger/place.go
@@ -51,11 +51,11 @@
 		case !t.allowed(now, route, u):
 		case u.registered && u.Draining:
 			// Not even as a last resort: it shuts down before the flow ends.
-		case u.registered && (t.cfg.Prober.ShouldAvoid(now, u.id) || u.isSilent(now)):
+		case u.registered && (t.cfg.Prober.ShouldAvoid(now, u.id) || t.isSilent(now, u)):
 			failing = append(failing, u)
 		case u.registered:
 			ready = append(ready, u)
-		case !u.Draining && now-u.removedAt < t.cfg.ReregistrationTime && !t.cfg.Prober.ShouldAvoid(now, u.id):
+		case !u.Draining && now-u.removedAt < t.cfg.ReregistrationTime && !t.cfg.Prober.ShouldAvoid(now, u.id) && !t.isSilent(now, u):
 			lapsed = append(lapsed, u)
 		}
 	}
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -54,9 +54,9 @@
 	}
 }
 
-// isSilent reports whether the upstream of an opening flow whose Caller repeats its first packet has most likely not
+// isUnanswered reports whether the upstream of an opening flow whose Caller repeats its first packet has most likely not
 // answered it: a flow that was placed later has been answered in the meantime, so that the path isn't just slow.
-func (t *Tagger) isSilent(r *recentFlow) bool { return t.answeredPlacedAt > r.placedAt }
+func (t *Tagger) isUnanswered(r *recentFlow) bool { return t.answeredPlacedAt > r.placedAt }
 
 // observePacket counts a flow's requests and reports a retransmission to the prober, since the
 // upstream may be dead.
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -183,12 +183,13 @@
 	silentAt time.Duration
 }
 
-// silenceTime is how long an upstream that didn't answer a first packet gets no new flows, unless it answers another
-// one. Checks of it have ended by then.
-const silenceTime = time.Second
+// silenceTime is how long an upstream that didn't answer a first packet gets no new flows at most. It ends earlier when
+// it answers another one or passes a check.
+const silenceTime = 5 * time.Second
 
-func (u *upstream) isSilent(now time.Duration) bool {
-	return u.silentAt != 0 && now-u.silentAt < silenceTime
+// isSilent reports whether an upstream has lately failed to answer a first packet.
+func (t *Tagger) isSilent(now time.Duration, u *upstream) bool {
+	return u.silentAt != 0 && now-u.silentAt < silenceTime && !t.cfg.Prober.PassedSince(u.id, u.silentAt)
 }
 
 func (u *upstream) capacity(now time.Duration) float64 {
