Don't move opening flows that another balancer may have placed

When an upstream is found dead, its opening flows' first packets are sent elsewhere. A flow whose Caller has repeated the first packet by way of another balancer may be open on the upstream that this one chose; the second SYN+ACK takes over its tag, and the flow breaks. Copies come 0.2 and 0.6 s after the first packet and carry their number, so a balancer can tell whether one is missing here. Such flows are left alone.

Ruled out: a limit of 0.2 s since the last copy, which gives up flows whose copies do come here.

Test seen red with flows moved whatever is missing, with copies not counted, and with skipped copies ignored.

--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -41,7 +41,7 @@
 		silent := t.isSilent(r)
 		u := t.upstreams[r.upstream]
 		if u != nil && !silent && !t.cfg.Prober.ShouldAvoid(now, r.upstream) && t.allowed(now, route, u) {
-			r.lastSeen, r.retransmitted = now, true
+			r.recordCopy(now, s)
 			return forward(now, u, Retransmitted)
 		}
 		if u != nil && silent {
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -28,6 +28,8 @@
 	// forwarded again, or perhaps elsewhere before.
 	placedAt      time.Duration
 	retransmitted bool
+	// skippedCopy is set if a copy of the first packet didn't arrive here, but a later one did.
+	skippedCopy bool
 	// lastSeen is the time of the newest packet.
 	lastSeen time.Duration
 	// stage is that of the last request, requestAck its acknowledgement number, and latestAck the
@@ -97,12 +99,30 @@
 	}
 }
 
+// firstPacketIntervals are the times after which a Caller repeats a first packet, and the copy of it, that isn't
+// answered.
+var firstPacketIntervals = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond}
+
+// copyMissed reports whether a copy of a flow's first packet should have arrived here but didn't. Another balancer
+// has probably placed the flow by it.
+func (r *recentFlow) copyMissed(now time.Duration) bool {
+	copies := int(r.segment.Ack)
+	return r.skippedCopy || copies < len(firstPacketIntervals) && now-r.lastSeen > firstPacketIntervals[copies]
+}
+
+// recordCopy records that a copy of an opening flow's first packet arrived.
+func (r *recentFlow) recordCopy(now time.Duration, s rattanwood.Segment) {
+	r.skippedCopy = r.skippedCopy || s.Ack > r.segment.Ack+1
+	r.lastSeen, r.retransmitted, r.segment.Ack = now, true, s.Ack
+}
+
 // ReassignOpeningFlows chooses other upstreams for the opening flows of an upstream that doesn't
-// answer, and returns their first packets to be forwarded again.
+// answer, and returns their first packets to be forwarded again. Flows that another balancer may have placed are
+// left out: a second upstream would take over their tag.
 func (t *Tagger) ReassignOpeningFlows(now time.Duration, id rattanwood.UpstreamID) []OutgoingPacket {
 	var out []OutgoingPacket
 	for _, r := range t.recentFlows {
-		if r.upstream != id || !r.opening {
+		if r.upstream != id || !r.opening || r.copyMissed(now) {
 			continue
 		}
 		route := t.routes[r.segment.Target]
--- a/tagger/tagger_test.go
+++ b/tagger/tagger_test.go
@@ -432,3 +432,40 @@
 	f.RemoveRegistration(f.now, instance(1))
 	c.Assert(f.SetRegistration(f.now, registration(1)), qt.Equals, tagger.RegistrationChanged)
 }
+
+// TestFlowsPlacedElsewhereAreNotReassigned has an upstream found dead after the Caller has repeated a first packet. If
+// the copy didn't arrive here, another balancer has placed the flow by it, and it may be open.
+func TestFlowsPlacedElsewhereAreNotReassigned(t *testing.T) {
+	tests := map[string]struct {
+		// copies are the times at which copies of the first packet arrive, and dead is when the upstream is found dead.
+		copies []time.Duration
+		dead   time.Duration
+		want   bool
+	}{
+		"before the first copy":     {nil, 150 * time.Millisecond, true},
+		"the first copy went away":  {nil, 500 * time.Millisecond, false},
+		"the first copy came":       {[]time.Duration{200 * time.Millisecond}, 500 * time.Millisecond, true},
+		"the second copy went away": {[]time.Duration{200 * time.Millisecond}, 700 * time.Millisecond, false},
+		"both copies came":          {[]time.Duration{200 * time.Millisecond, 600 * time.Millisecond}, 1200 * time.Millisecond, true},
+		"only the second copy came": {[]time.Duration{600 * time.Millisecond}, 900 * time.Millisecond, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture()
+			began, id := f.now, f.sendFirst(1, board).Instance.Upstream()
+			for _, at := range test.copies {
+				f.now = began + at
+				s := segment(1, board)
+				s.Flags, s.Ack = rattanwood.FlagOpen, 1
+				if at > 200*time.Millisecond {
+					s.Ack = 2
+				}
+				c.Assert(f.Packet(f.now, s, []byte("first")).Reason, qt.Equals, tagger.Retransmitted)
+			}
+			f.now = began + test.dead
+			f.failChecks(int(id), prober.Refused)
+			c.Assert(len(f.ReassignOpeningFlows(f.now, id)) == 1, qt.Equals, test.want)
+		})
+	}
+}
