Ask no lagging peer for the lasting records that it keeps

While the end of an evacuation spreads, every heartbeat of a balancer that had not heard of it made its receiver fetch. Seen red (TestLaggingPeerIsNotAsked).

--- a/copier/copier.go
+++ b/copier/copier.go
@@ -108,11 +108,12 @@
 	return out
 }
 
-// keepsOthers reports whether a peer may keep lasting records in effect that this balancer doesn't.
+// keepsOthers reports whether a peer may keep lasting records in effect that this balancer doesn't. One that lags
+// behind may just not have heard yet of their end.
 func (c *Copier) keepsOthers(heartbeat *messenger.Heartbeat) bool {
 	replica := c.cfg.Replica
 	return heartbeat.Kept != 0 && heartbeat.Kept != c.cfg.Reconciler.KeptDigest() &&
-		replica.Complete() && heartbeat.Position.Era() == replica.Position().Era()
+		replica.Complete() && heartbeat.Position.Era() == replica.Position().Era() && heartbeat.Position >= replica.Position()
 }
 
 // compareKnowledge records whether a peer knows what the source lost on its last return.
--- a/copier/lasting_test.go
+++ b/copier/lasting_test.go
@@ -79,3 +79,25 @@
 		})
 	}
 }
+
+// TestLaggingPeerIsNotAsked has peers show lasting records that aren't known here.
+func TestLaggingPeerIsNotAsked(t *testing.T) {
+	tests := map[string]struct {
+		position rattanwood.Position
+		fetch    bool
+	}{
+		"same position":  {in(3), true},
+		"later position": {in(4), true},
+		"lags behind":    {in(2), false},
+		"earlier era":    {9, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			balancer, msgr := newLastingCopier("vm-1")
+			balancer.HandleListing(now, now, nil, in(3))
+			balancer.HandleHeartbeat(now, &messenger.Heartbeat{From: "vm-2", HeartbeatPayload: messenger.HeartbeatPayload{Position: test.position, Informed: true, Kept: 7}})
+			c.Assert(msgr.TakeActions(), qt.HasLen, map[bool]int{true: 1}[test.fetch])
+		})
+	}
+}
