--- a/admitter/capacity.go
+++ b/admitter/capacity.go
@@ -62,7 +62,7 @@
 func newService(cfg Config) *service {
 	return &service{
 		cfg:    cfg,
-		factor: maxFactor, usualFactor: startFactor, delay: 1, tries: meter{window: cfg.DemandWindow},
+		factor: startFactor, usualFactor: startFactor, delay: 1, tries: meter{window: cfg.DemandWindow},
 	}
 }
 
@@ -92,7 +92,7 @@
 // record corrects the factor for a try, so that it is at rest when the share of tries that fail is the loss
 // target.
 //
-// The factor is high until upstreams turn too many away, and then starts from the one that held at the last
+// The factor rises until upstreams turn too many away, and then starts from the one that held at the last
 // overload. Where the demand is below the limit and the slots it falls further only while upstreams have queues:
 // other failures aren't due to load.
 func (s *service) record(now time.Duration, failed bool) {
--- a/figures/main.go
+++ b/figures/main.go
@@ -1,10 +1,12 @@
-// Command figures draws a chart of what the balance settings of a service cost, from the
-// measurements that the balance test of package router writes as JSON.
+// Command figures draws charts from measurements that tests write as JSON: what the balance settings of a
+// service cost (package router), and who is served under load (package admitter).
 package main
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 
 	"gonum.org/v1/plot"
@@ -29,23 +31,31 @@
 }
 
 func main() {
-	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: figures BALANCE.json BALANCE.svg")
+	charts := map[string]func(from, to string) error{"balance": drawBalance, "admission": drawAdmission}
+	if len(os.Args) != 4 || charts[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: figures balance|admission FROM.json TO.svg")
 		os.Exit(2)
 	}
-	if err := drawChart(os.Args[1], os.Args[2]); err != nil {
+	if err := charts[os.Args[1]](os.Args[2], os.Args[3]); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func drawChart(from, to string) error {
+// read decodes the measurements in a file.
+func read[T any](from string) ([]T, error) {
 	data, err := os.ReadFile(from)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	var points []point
-	if err := json.Unmarshal(data, &points); err != nil {
+	var out []T
+	err = json.Unmarshal(data, &out)
+	return out, err
+}
+
+func drawBalance(from, to string) error {
+	points, err := read[point](from)
+	if err != nil {
 		return err
 	}
 	p := plot.New()
@@ -108,3 +118,15 @@
 	p.Legend.Add(fmt.Sprintf("excess %v", excess), line, marks)
 	return nil
 }
+
+// writeCanvas writes a drawing to a file.
+func writeCanvas(canvas io.WriterTo, to string) error {
+	f, err := os.Create(to)
+	if err != nil {
+		return err
+	}
+	if _, err := canvas.WriteTo(f); err != nil {
+		return errors.Join(err, f.Close())
+	}
+	return f.Close()
+}
