Stay in the rotation if no balancer could serve the new flows

Cause: a balancer that saw three new flows in a second for a service without any upstream that may take them (all removed, draining, or in evacuated data centres), while no other flow was answered, left the rotation and came back only when the service had a usable upstream: for good, if it never got one. All balancers decide alike, so one route to an emptied service could take the whole fleet out. The same held for a service whose last upstream elsewhere was removed after the balancer left. Ruled out: not counting such flows at all, which doesn't help in the second case. Change: Tagger.IsStranded replaces HasUsable: a service is stranded if it has upstreams that may take new flows but all fail. The rotator's test asks the opposite question with the same cases. Two cases in TestBalancerLeavesRotationWhenItsDataCentreIsCutOff; both red with the rule of HasUsable.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -331,7 +331,7 @@
 
 // updateRotation decides whether this balancer stays in the fabric's rotation. The calling code must hold mu.
 func (n *Node) updateRotation(now time.Duration) {
-	stays, changed := n.rotator.Update(now, func(service rattanwood.ServiceID) bool { return n.tagger.HasUsable(now, service) })
+	stays, changed := n.rotator.Update(now, func(service rattanwood.ServiceID) bool { return n.tagger.IsStranded(now, service) })
 	if !changed {
 		return
 	}
--- a/rotator/rotator.go
+++ b/rotator/rotator.go
@@ -58,7 +58,7 @@
 // Rotator holds the state of one balancer.
 type Rotator struct {
 	stranded, answered, requests counter
-	// services are those of the flows that found no usable upstream, since the last time that all were usable.
+	// services are those of the flows that found no usable upstream, as long as they are stranded.
 	services map[rattanwood.ServiceID]bool
 	left     bool
 	leftAt   time.Duration
@@ -80,11 +80,11 @@
 // RecordRequest counts a request on an established flow.
 func (r *Rotator) RecordRequest(now time.Duration) { r.requests.add(now) }
 
-// Update decides anew and reports whether the balancer should be in rotation, and whether that has changed. Usable
-// reports whether a service has an upstream that may take new flows and passes its checks.
-func (r *Rotator) Update(now time.Duration, usable func(rattanwood.ServiceID) bool) (stays, changed bool) {
+// Update decides anew and reports whether the balancer should be in rotation, and whether that has changed. IsStranded
+// reports whether a service has upstreams that may take new flows, but none of them passes its checks.
+func (r *Rotator) Update(now time.Duration, isStranded func(rattanwood.ServiceID) bool) (stays, changed bool) {
 	for service := range r.services {
-		if usable(service) {
+		if !isStranded(service) {
 			delete(r.services, service)
 		}
 	}
--- a/rotator/rotator_test.go
+++ b/rotator/rotator_test.go
@@ -52,7 +52,7 @@
 						r.RecordRequest(now)
 					}
 				}
-				stays, changed := r.Update(now, func(rattanwood.ServiceID) bool { return !cut })
+				stays, changed := r.Update(now, func(rattanwood.ServiceID) bool { return cut })
 				c.Assert(stays || now >= cutAt, qt.IsTrue)
 				c.Assert(changed && stays && now < healAt, qt.IsFalse, qt.Commentf("returned at %v", now))
 				if !stays {
--- a/tagger/allow.go
+++ b/tagger/allow.go
@@ -1,7 +1,6 @@
 package tagger
 
 import (
-	"slices"
 	"time"
 
 	"example.org/rattanwood"
@@ -48,10 +47,23 @@
 
 // isUsable reports whether an upstream can take new flows.
 func (t *Tagger) isUsable(now time.Duration, u *upstream) bool {
-	return u.registered && !u.Draining && !t.cfg.Evacuator.Evacuated(u.DataCentre) && !t.cfg.Prober.ShouldAvoid(now, u.id) && !u.isSilent(now)
+	return t.mayBeUsed(u) && !t.cfg.Prober.ShouldAvoid(now, u.id) && !u.isSilent(now)
 }
 
-// HasUsable reports whether a service has an upstream that can take new flows.
-func (t *Tagger) HasUsable(now time.Duration, service rattanwood.ServiceID) bool {
-	return slices.ContainsFunc(t.upstreamsOf(service), func(u *upstream) bool { return t.isUsable(now, u) })
+// mayBeUsed reports whether an upstream could take new flows if it were healthy.
+func (t *Tagger) mayBeUsed(u *upstream) bool {
+	return u.registered && !u.Draining && !t.cfg.Evacuator.Evacuated(u.DataCentre)
+}
+
+// IsStranded reports whether all upstreams of a service that could take new flows fail. One without any such upstream
+// isn't stranded: no other balancer could serve it either.
+func (t *Tagger) IsStranded(now time.Duration, service rattanwood.ServiceID) bool {
+	stranded := false
+	for _, u := range t.upstreamsOf(service) {
+		if t.isUsable(now, u) {
+			return false
+		}
+		stranded = stranded || t.mayBeUsed(u)
+	}
+	return stranded
 }
--- a/tagger/strand_test.go
+++ b/tagger/strand_test.go
@@ -11,12 +11,14 @@
 )
 
 // TestBalancerLeavesRotationWhenItsDataCentreIsCutOff has a data centre cut off from the one upstream elsewhere, with
-// and without its own upstreams being evacuated.
+// and without its own upstreams being evacuated. Where no balancer could serve new flows, each stays.
 func TestBalancerLeavesRotationWhenItsDataCentreIsCutOff(t *testing.T) {
-	tests := map[string]struct{ evacuated, cut, stays bool }{
-		"cut off and evacuated": {true, true, false},
-		"only evacuated":        {true, false, true},
-		"only cut off":          {false, true, true},
+	tests := map[string]struct{ evacuated, cut, gone, removed, stays bool }{
+		"cut off and evacuated": {evacuated: true, cut: true},
+		"then removed":          {evacuated: true, cut: true, removed: true},
+		"only evacuated":        {evacuated: true, stays: true},
+		"only cut off":          {cut: true, stays: true},
+		"no upstream anywhere":  {evacuated: true, gone: true, stays: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -28,11 +30,15 @@
 			if test.evacuated {
 				f.evacuator.Set(f.now, "east", rattanwood.NewPosition(0, 9))
 			}
+			if test.gone {
+				f.RemoveRegistration(f.now, instance(7))
+				f.now += time.Minute
+			}
 			if test.cut {
 				f.failChecks(7, prober.TimedOut)
 			}
 			update := func() bool {
-				stays, _ := f.rotator.Update(f.now, func(s rattanwood.ServiceID) bool { return f.HasUsable(f.now, s) })
+				stays, _ := f.rotator.Update(f.now, func(s rattanwood.ServiceID) bool { return f.IsStranded(f.now, s) })
 				return stays
 			}
 			for caller := range 5 {
@@ -40,7 +46,11 @@
 				f.sendFirst(caller+1, board)
 			}
 			c.Assert(update(), qt.Equals, test.stays)
-			f.prober.RecordResult(instance(7).Upstream(), f.now, prober.Passed)
+			if test.removed {
+				f.RemoveRegistration(f.now, instance(7))
+			} else {
+				f.prober.RecordResult(instance(7).Upstream(), f.now, prober.Passed)
+			}
 			f.now += time.Second
 			c.Assert(update(), qt.IsTrue)
 		})
