Tell the admission once that a service has no slots left

Cause: UpdateSlots told the admission of each service that a route ever named, with zero slots, every 500 ms, and the Admitter created and dropped its state each time: state and work that only grow. Change: a service that no route names is told once. TestSlotsOfFormerServices; red without the condition.

--- a/tagger/admission.go
+++ b/tagger/admission.go
@@ -72,9 +72,11 @@
 	t.slotsOutdated, t.slotsUpdatedAt = false, now
 	slots := make(map[rattanwood.ServiceID]float64, len(t.slots))
 	unconfined := map[rattanwood.ServiceID]bool{}
-	for service := range t.slots {
-		// One that no route names any more has none.
-		slots[service] = 0
+	for service, n := range t.slots {
+		if n > 0 {
+			// One that no route names any more has none.
+			slots[service] = 0
+		}
 	}
 	for _, route := range t.routes {
 		confined := len(route.Homes)+len(route.CustomerHomes) > 0
--- a/tagger/admission_test.go
+++ b/tagger/admission_test.go
@@ -186,6 +186,20 @@
 	}
 }
 
+// TestSlotsOfFormerServices deletes a route and checks that its service isn't told for good.
+func TestSlotsOfFormerServices(t *testing.T) {
+	c := qt.New(t)
+	f, a := newAdmittingFixture()
+	f.UpdateSlots(f.now)
+	f.SetRouting(routing(2, maps))
+	for range 3 {
+		clear(a.slots)
+		f.now += time.Second
+		f.UpdateSlots(f.now)
+	}
+	c.Assert(a.slots, qt.DeepEquals, map[rattanwood.ServiceID]float64{"board": 8})
+}
+
 // TestOutcomesForAdmission checks that each request counts once, as answered after the time until its response
 // began or as failed, and that the round trip is that of the handshake.
 func TestOutcomesForAdmission(t *testing.T) {
