Forget levels without demand although balancers report them

Cause: a report of a level marked it as used, also one without demand, and balancers report all levels that they know. Once a class had been seen anywhere, all balancers therefore kept its level for good; the state and the work of each evaluation grew with each change of classes. Ruled out: not reporting levels without demand, since a sender without any must still count in the mean. Change: a report of zero leaves the level alone. TestForgottenLevels; red without the condition.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -259,6 +259,10 @@
 		p.loads = p.loads[:0]
 	}
 	p.dataCentre, p.at = dc, now
+	if r.Offered <= 0 {
+		// Balancers that report a level without demand to each other must not keep it for good.
+		return
+	}
 	p.loads = append(p.loads, peerDemand{
 		demand: demand{offered: r.Offered, admitted: r.Admitted},
 		level:  r.Level, ownOffers: s.level(now, r.Level).offers.decayed(now),
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -1,6 +1,7 @@
 package admitter_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -161,6 +162,32 @@
 	qt.Check(t, offered(13*time.Second) < 0.5, qt.IsTrue)
 }
 
+// TestForgottenLevels has two balancers, of which one got offers of a class that is no longer in use, report to each
+// other in thousandths of a slot.
+func TestForgottenLevels(t *testing.T) {
+	a, b := newAdmitter(), newAdmitter()
+	members := map[rattanwood.DataCentre]int{"dc0": 2}
+	for _, x := range []*admitter.Admitter{a, b} {
+		x.SetSlots(0, service, 2)
+	}
+	measure(a, 0, patient)
+	press(a, 0, patient, 100, 0)
+	for now := time.Second; now < 11*time.Minute; now += time.Second {
+		for from, to := range map[*admitter.Admitter]*admitter.Admitter{a: b, b: a} {
+			for _, r := range from.Reports(now) {
+				r.Offered, r.Admitted = math.Floor(1000*r.Offered)/1000, math.Floor(1000*r.Admitted)/1000
+				to.MergeReport(now, "other", "dc0", r)
+			}
+			to.Tick(now, members)
+		}
+		if now == 2*time.Second {
+			qt.Check(t, b.Rows(now), qt.HasLen, 1)
+		}
+	}
+	qt.Check(t, a.Rows(11*time.Minute), qt.HasLen, 0)
+	qt.Check(t, b.Rows(11*time.Minute), qt.HasLen, 0)
+}
+
 // BenchmarkDecide measures a decision with 24 neighbours that report three levels each.
 func BenchmarkDecide(b *testing.B) {
 	a := newAdmitter()
