Rank nodes again that were leaving but came back

Cause: a node that shuts down tells its receivers that it is leaving, among them a random one that is no neighbour. If it starts again on its VM before its neighbours declare it dead (5 s), no news tells of it, and that receiver hears it again once in minutes: until then it counts neither for checks nor for reading, nor as a balancer of its data centre. Change: leaving ends after three times the dead time without a sign of life, and with a later incarnation. TestNodesThatCameBackRank; red without the change in updateState.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -195,6 +195,10 @@
 // inactiveSlowdown is the factor by which heartbeats to listed and dead members are rarer.
 const inactiveSlowdown = 4
 
+// leavingDeadTimes is the multiple of Config.DeadAfter after which a member that was leaving and isn't heard has
+// either been told to be dead or hasn't left for good.
+const leavingDeadTimes = 3
+
 // heartbeatDue reports whether the member gets a heartbeat in this round.
 func (m *Member) heartbeatDue(now, interval time.Duration) bool {
 	if m.distant {
@@ -241,6 +245,11 @@
 	silence := now - max(m.lastHeard, m.heardByHelper)
 	switch {
 	case m.State != Alive && m.State != Suspect:
+		if d.cfg.Sparse && m.Leaving && m.State == Listed && now-m.heardAt >= leavingDeadTimes*d.cfg.DeadAfter {
+			// It has come back on its VM before anyone declared it dead.
+			m.Leaving = false
+			d.generation++
+		}
 		return nil
 	case m.distant:
 		if silence >= d.cfg.SuspectAfter {
--- a/messenger/members_test.go
+++ b/messenger/members_test.go
@@ -142,6 +142,22 @@
 	c.Assert(deaths(f.nodes, f.nodes), qt.Equals, 0)
 }
 
+// TestNodesThatCameBackRank tells a node that others are leaving, most of which it hears once in minutes. They were
+// back before anyone declared them dead, so no news tells of them.
+func TestNodesThatCameBackRank(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := newFleet(c, 45)
+	f.run(10 * time.Second)
+	for _, n := range f.nodes[1:] {
+		f.receive(f.nodes[0], n, &wire.Envelope{Vm: string(n.name), Life: 1, Body: &wire.Envelope_Beat{
+			Beat: &wire.Beat{Seq: 10, Centre: fmt.Sprint("dc", n.dataCentre), Courtesy: true, Leaving: true},
+		}})
+	}
+	f.run(15*time.Second + 2*step)
+	f.checkOneCheckerEach(f.nodes)
+}
+
 // TestReplacedNodesLeaveNoTrace has 10,000 nodes with names of their own join a fleet and die.
 func TestReplacedNodesLeaveNoTrace(t *testing.T) {
 	t.Parallel()
