Rank members again when a later process of theirs is told of

Cause: the ranks of upstreams are kept until a member changes, and news of a later process ends a member's leaving without counting as a change.

--- a/detector/news.go
+++ b/detector/news.go
@@ -178,7 +178,11 @@
 		return
 	}
 	if incarnation > m.Incarnation {
-		m.Incarnation, m.inSyncAt, m.lastSeq, m.Leaving = incarnation, 0, 0, false
+		if m.Leaving {
+			m.Leaving = false
+			d.generation++
+		}
+		m.Incarnation, m.inSyncAt, m.lastSeq = incarnation, 0, 0
 	}
 	m.heardAt, m.heardByHelper = heard, max(m.heardByHelper, heard)
 	if m.State == Dead {
