Keep the time of a death in the news of it

Cause: a node that applied a death took on the later of the news' last sign of life and its own, and told others that. Where a member lives after all, its signs of life thereby renewed the news of its death, which then outlasted each refutation. Ruled out: refusing deaths of members heard within the suspect time, which ends it too, but lets the news take on later times all the same. Change: the news keeps its time, so that any later sign of life holds everywhere. TestNewsOfDeathsEnds; red without the change.

--- a/detector/news.go
+++ b/detector/news.go
@@ -166,7 +166,8 @@
 		// Members that take it for dead learn from this process that it isn't.
 		d.spread(m.VM)
 	default:
-		m.Incarnation, m.heardAt = max(m.Incarnation, incarnation), max(m.heardAt, heard, 1)
+		// The news keeps its time on its way. If it took on that of later signs of life, it would outlast them.
+		m.Incarnation, m.heardAt = max(m.Incarnation, incarnation), max(heard, 1)
 		d.declareDead(now, m, true)
 	}
 }
--- a/messenger/members_test.go
+++ b/messenger/members_test.go
@@ -125,6 +125,29 @@
 	}
 }
 
+// TestNewsOfDeathsEnds cuts half of the nodes off from all others, each alone, for about as long as it takes to
+// declare them dead. Afterwards, no news of deaths may outlast the signs of life.
+func TestNewsOfDeathsEnds(t *testing.T) {
+	t.Parallel()
+	for _, cut := range []time.Duration{8 * time.Second, 10 * time.Second, 20 * time.Second} {
+		t.Run(cut.String(), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			f := newFleet(c, 109)
+			f.run(30 * time.Second)
+			alone := f.nodes[:54]
+			f.isCut = func(from, to *node) bool { return from.isOneOf(alone) || to.isOneOf(alone) }
+			f.run(cut)
+			f.isCut = func(*node, *node) bool { return false }
+			f.run(15 * time.Second)
+			c.Assert(deaths(f.nodes, f.nodes), qt.Equals, 0)
+			for _, n := range f.nodes {
+				c.Assert(n.messenger.Members.HasNews(), qt.IsFalse)
+			}
+		})
+	}
+}
+
 // TestLivingRefuteTheirDeath tells nodes that hear a node, and ones that don't, that it is dead.
 func TestLivingRefuteTheirDeath(t *testing.T) {
 	t.Parallel()
