--- a/detector/news.go
+++ b/detector/news.go
@@ -166,7 +166,8 @@
 		// Members that take it for dead learn from this process that it isn't.
 		d.spread(m.VM)
 	default:
-		m.Incarnation, m.heardAt = max(m.Incarnation, incarnation), max(m.heardAt, heard, 1)
+		// The news keeps its time on its way. If it took on that of later signs of life, it would outlast them.
+		m.Incarnation, m.heardAt = max(m.Incarnation, incarnation), max(heard, 1)
 		d.declareDead(now, m, true)
 	}
 }
@@ -183,6 +184,8 @@
 			d.generation++
 		}
 		m.Incarnation, m.inSyncAt, m.lastSeq = incarnation, 0, 0
+		m.Leaving = false
+		d.generation++
 	}
 	m.heardAt, m.heardByHelper = heard, max(m.heardByHelper, heard)
 	if m.State == Dead {
