--- a/Makefile
+++ b/Makefile
@@ -95,7 +95,8 @@
 
 # Quick scores of the sites that changes are compared on. BENCH is the users' bench and SITES the folder of its
 # site files.
-REGRESSION := further/slli-rtk.toml further-grown/slli-rtk-grown.toml large/mccpermits-large.toml grown/sorami-lb-grown.toml
+REGRESSION := further/slli-rtk.toml further-grown/slli-rtk-grown.toml large/mccpermits-large.toml grown/sorami-lb-grown.toml \
+	demands/kadastra-viewer-grown.toml demands/hest-forms-grown.toml shifted/mccpermits-now-grown.toml
 JOBS ?= 2
 WHY ?= regression
 .PHONY: regression
