End leaving once for a later process

Cause: two mends of the same fault were merged, so each later incarnation that news told of ranked all balancers anew, also if the earlier one wasn't leaving. Change: the unconditional one goes. The tests of detector and messenger pass unchanged; nothing else behaves differently, so none was seen red.

--- a/detector/news.go
+++ b/detector/news.go
@@ -184,8 +184,6 @@
 			d.generation++
 		}
 		m.Incarnation, m.inSyncAt, m.lastSeq = incarnation, 0, 0
-		m.Leaving = false
-		d.generation++
 	}
 	m.heardAt, m.heardByHelper = heard, max(m.heardByHelper, heard)
 	if m.State == Dead {
