Compare a silent upstream only with answers to the same network

A Caller that is far away repeats each first packet while nearer ones are answered, so that its flow would have moved from an upstream that answers. A copy of a first packet that the flow's next packet has overtaken was placed anew. A balancer out of the rotation stayed out after the evacuation was taken back, until it heard another data centre. The third has no test of its own.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -331,7 +331,8 @@
 
 // updateRotation decides whether this balancer stays in the fabric's rotation. The calling code must hold mu.
 func (n *Node) updateRotation(now time.Duration) {
-	stays, changed := n.rotator.Update(now, n.messenger.HearsOtherDataCentre(now))
+	evacuated := n.evacuator.Evacuated(rattanwood.DataCentre(n.cfg.Settings.DataCentre))
+	stays, changed := n.rotator.Update(now, !evacuated || n.messenger.HearsOtherDataCentre(now))
 	if !changed {
 		return
 	}
--- a/rotator/rotator.go
+++ b/rotator/rotator.go
@@ -78,7 +78,7 @@
 func (r *Rotator) RecordRequest(now time.Duration) { r.requests.add(now) }
 
 // Update decides anew and reports whether the balancer should be in rotation, and whether that has changed. Reachable
-// tells whether a balancer of another data centre was heard lately.
+// tells whether a balancer of another data centre was heard lately, or the own one isn't evacuated.
 func (r *Rotator) Update(now time.Duration, reachable bool) (stays, changed bool) {
 	away := r.away.sum(now, answerTime)
 	switch {
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -24,6 +24,9 @@
 	return t.handleEstablished(now, s)
 }
 
+// openingTime is the time within which Callers open a flow or give up.
+const openingTime = 1400 * time.Millisecond
+
 // handleOpening decides on a flow's first packet or a retransmission of it.
 func (t *Tagger) handleOpening(now time.Duration, s rattanwood.Segment, packet []byte) Verdict {
 	if t.IsResuming(now) {
@@ -49,6 +52,12 @@
 		}
 		reason, except = Reassigned, r.upstream
 	}
+	if r != nil && !r.opening && r.opened && s.Ack > 0 && now-r.placedAt < openingTime {
+		// A copy of the first packet was overtaken by the flow's next one.
+		if u := t.upstreams[r.upstream]; u != nil {
+			return forward(now, u, Retransmitted)
+		}
+	}
 	service := t.drawService(route)
 	if reason == Placed {
 		if refusal := t.admit(now, route, service, s); refusal != nil {
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -56,9 +56,35 @@
 	}
 }
 
+// callerNetwork returns the network of a Caller, whose members are about as far away as each other.
+func callerNetwork(caller netip.AddrPort) netip.Prefix {
+	bits := 16
+	if caller.Addr().Is6() {
+		bits = 48
+	}
+	// The number of bits suits the address, so there is no error.
+	network, _ := caller.Addr().Unmap().Prefix(bits)
+	return network
+}
+
 // isUnanswered reports whether the upstream of an opening flow whose Caller repeats its first packet has most likely not
-// answered it: a flow that was placed later has been answered in the meantime, so that the path isn't just slow.
-func (t *Tagger) isUnanswered(r *recentFlow) bool { return t.answeredPlacedAt > r.placedAt }
+// answered it: a flow from the same network that was placed later has been answered in the meantime, so that the path
+// isn't just long or slow.
+func (t *Tagger) isUnanswered(r *recentFlow) bool {
+	return t.answeredPlacedAt[callerNetwork(r.segment.Caller)] > r.placedAt
+}
+
+// recordAnswered records that an upstream has answered the first packet of a flow.
+func (t *Tagger) recordAnswered(now time.Duration, r *recentFlow) {
+	network := callerNetwork(r.segment.Caller)
+	if _, known := t.answeredPlacedAt[network]; known || len(t.answeredPlacedAt) < t.cfg.MaxRecentFlows {
+		t.answeredPlacedAt[network] = max(t.answeredPlacedAt[network], r.placedAt)
+	}
+	t.cfg.Rotator.RecordAnswered(now)
+	if u := t.upstreams[r.upstream]; u != nil {
+		u.silentAt = 0
+	}
+}
 
 // observePacket counts a flow's requests and reports a retransmission to the prober, since the
 // upstream may be dead.
@@ -76,11 +102,7 @@
 		if !r.retransmitted && t.cfg.Admission != nil && !t.IsResuming(now) {
 			t.averagesOf(key.target).recordRoundTrip(now - r.placedAt)
 		}
-		t.answeredPlacedAt = max(t.answeredPlacedAt, r.placedAt)
-		t.cfg.Rotator.RecordAnswered(now)
-		if u := t.upstreams[s.Tag]; u != nil {
-			u.silentAt = 0
-		}
+		t.recordAnswered(now, r)
 	}
 	t.trackRequest(now, key, r, s)
 	r.opening, r.packet, r.lastSeen, r.segment.Ack = false, nil, now, s.Ack
@@ -164,6 +186,11 @@
 }
 
 func (t *Tagger) removeExpiredFlows(now time.Duration) {
+	for network, placedAt := range t.answeredPlacedAt {
+		if now-placedAt > t.cfg.FlowRetentionTime {
+			delete(t.answeredPlacedAt, network)
+		}
+	}
 	for key, r := range t.recentFlows {
 		if now-r.lastSeen > t.cfg.FlowRetentionTime {
 			t.countRequests(key, r)
--- a/tagger/silent_test.go
+++ b/tagger/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -17,21 +18,30 @@
 func TestRepeatedFirstPacketsLeaveSilentUpstreams(t *testing.T) {
 	tests := map[string]struct {
 		earlier, later bool
-		want           tagger.Reason
+		// far is set if the other flows' Callers are in another network, which may be nearer.
+		far  bool
+		want tagger.Reason
 	}{
-		"no flow answered":             {false, false, tagger.Retransmitted},
-		"only an earlier one answered": {true, false, tagger.Retransmitted},
-		"a later one answered":         {false, true, tagger.Reassigned},
+		"no flow answered":                 {false, false, false, tagger.Retransmitted},
+		"only an earlier one answered":     {true, false, false, tagger.Retransmitted},
+		"a later one answered":             {false, true, false, tagger.Reassigned},
+		"a later one answered from nearer": {false, true, true, tagger.Retransmitted},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			f := newFixture()
 			answered := func(caller int, ok bool) {
-				v := f.sendFirst(caller, maps)
+				s := segment(caller, maps)
+				if test.far {
+					s.Caller = netip.AddrPortFrom(netip.MustParseAddr("100.99.0.7"), uint16(caller))
+				}
+				s.Flags = rattanwood.FlagOpen
+				v := f.Packet(f.now, s, []byte("first"))
 				f.now += 10 * time.Millisecond
 				if ok {
-					f.sendTagged(caller, maps, v.Instance.Upstream(), 1)
+					s.Flags, s.Tag, s.Seq, s.Length = rattanwood.FlagAck, v.Instance.Upstream(), 1, 10
+					f.Packet(f.now, s, nil)
 				}
 			}
 			answered(1, test.earlier)
@@ -108,3 +118,17 @@
 	c.Assert(opened, qt.Equals, flows)
 	c.Assert(late <= flows/100, qt.IsTrue, qt.Commentf("%d of %d flows opened late", late, opened))
 }
+
+// TestOvertakenCopyStaysOnItsUpstream has a copy of a flow's first packet arrive after the flow's next packet.
+func TestOvertakenCopyStaysOnItsUpstream(t *testing.T) {
+	c := qt.New(t)
+	for caller := 1; caller < 50; caller++ {
+		f := newFixture()
+		v := f.sendFirst(caller, board)
+		f.now += 250 * time.Millisecond
+		f.sendTagged(caller, board, v.Instance.Upstream(), 1)
+		s := segment(caller, board)
+		s.Flags, s.Ack = rattanwood.FlagOpen, 1
+		c.Assert(f.Packet(f.now, s, []byte("first")).Instance, qt.Equals, v.Instance)
+	}
+}
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -210,8 +210,9 @@
 	// servicesOutdated is true while services doesn't reflect the current upstreams.
 	servicesOutdated bool
 	recentFlows      map[flowKey]*recentFlow
-	// answeredPlacedAt is the latest placedAt of the flows whose upstreams have answered the first packet.
-	answeredPlacedAt time.Duration
+	// answeredPlacedAt is the latest placedAt of the flows whose upstreams have answered the first packet, by the
+	// Callers' network.
+	answeredPlacedAt map[netip.Prefix]time.Duration
 	// pendingRequests are the recent flows whose last request hasn't been assessed yet.
 	pendingRequests map[flowKey]*recentFlow
 	// averages are those of the requests by route.
@@ -252,7 +253,9 @@
 		pendingRequests: map[flowKey]*recentFlow{},
 		averages:        map[netip.AddrPort]*routeAverages{},
 		unknownTags:     map[rattanwood.UpstreamID]time.Duration{},
-		admissions:      map[AdmissionOutcome]uint64{},
+
+		answeredPlacedAt: map[netip.Prefix]time.Duration{},
+		admissions:       map[AdmissionOutcome]uint64{},
 	}
 }
 
