--- a/detector/detector.go
+++ b/detector/detector.go
@@ -128,6 +128,10 @@
 	digestStale  bool
 	// generation counts the changes that Generation tells of.
 	generation uint64
+	// ring holds the members in the order of their hashes as of ringGeneration. centre and fleet are reused by
+	// chooseNeighbours.
+	ring, centre, fleet []*Member
+	ringGeneration      uint64
 	// news holds for each member of which there is news the number of rounds in which it is still sent.
 	news map[rattanwood.VMID]int
 	// changes are those for TakeChanges.
--- a/detector/sparse.go
+++ b/detector/sparse.go
@@ -21,8 +21,9 @@
 // chooseNeighbours chooses this process's neighbours on both rings. Members that have chosen this
 // process as their neighbour get heartbeats in return.
 func (d *Detector) chooseNeighbours(now time.Duration) {
-	var centre, fleet []*Member
-	for _, m := range d.sorted {
+	d.sortRing()
+	centre, fleet := d.centre[:0], d.fleet[:0]
+	for _, m := range d.ring {
 		// A silent neighbour stays one until it is heard or dead, although the ring may change meanwhile.
 		m.neighbour = m.neighbour && m.State == Suspect
 		m.distant = !m.neighbour && (m.State == Dead || m.lastAsNeighbour == 0 || now-m.lastAsNeighbour > d.cfg.SuspectAfter)
@@ -34,13 +35,23 @@
 			centre = append(centre, m)
 		}
 	}
+	d.centre, d.fleet = centre, fleet
 	d.chooseOnRing(now, centre, centreRingBase)
 	d.chooseOnRing(now, fleet, fleetRingBase)
 }
 
-// chooseOnRing makes neighbours of the members of a ring at the distances given by the powers of base.
+// sortRing brings all members into the order of their hashes, if members were added or removed.
+func (d *Detector) sortRing() {
+	if d.ringGeneration == d.generation {
+		return
+	}
+	d.ringGeneration = d.generation
+	d.ring = append(d.ring[:0], d.sorted...)
+	slices.SortFunc(d.ring, func(a, b *Member) int { return cmp.Compare(a.Seed, b.Seed) })
+}
+
+// chooseOnRing makes neighbours of the members of a ring, in the order of their hashes, at the distances given by the powers of base.
 func (d *Detector) chooseOnRing(now time.Duration, members []*Member, base int) {
-	slices.SortFunc(members, func(a, b *Member) int { return cmp.Compare(a.Seed, b.Seed) })
 	own := ranker.Seed(string(d.cfg.Self))
 	position, _ := slices.BinarySearchFunc(members, own, func(m *Member, seed uint64) int { return cmp.Compare(m.Seed, seed) })
 	n := len(members)
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -5,7 +5,6 @@
 package prober
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -187,7 +186,9 @@
 type Prober struct {
 	cfg       Config
 	upstreams map[rattanwood.UpstreamID]*upstreamState
-	budget    *limiter.Limiter
+	// order holds the IDs of the upstreams in order.
+	order  []rattanwood.UpstreamID
+	budget *limiter.Limiter
 	// latestPassed is when the latest check of any upstream that passed began.
 	latestPassed time.Duration
 	// latestReference is when the latest reference check began.
@@ -208,6 +209,8 @@
 	r := p.upstreams[id]
 	if r == nil {
 		p.upstreams[id] = &upstreamState{lastCheck: now}
+		i, _ := slices.BinarySearch(p.order, id)
+		p.order = slices.Insert(p.order, i, id)
 		return
 	}
 	r.forget()
@@ -219,7 +222,12 @@
 }
 
 // Remove stops checking an upstream.
-func (p *Prober) Remove(id rattanwood.UpstreamID) { delete(p.upstreams, id) }
+func (p *Prober) Remove(id rattanwood.UpstreamID) {
+	delete(p.upstreams, id)
+	if i, ok := slices.BinarySearch(p.order, id); ok {
+		p.order = slices.Delete(p.order, i, i+1)
+	}
+}
 
 // ReportSuspicion requests a check because of traffic that a dead upstream would explain, such as a
 // retransmission. It also counts as evidence if the checks time out.
@@ -286,7 +294,7 @@
 // by a StartReference if it is still running after ReferenceDelay.
 func (p *Prober) StartDueChecks(now time.Duration, assignment func(rattanwood.UpstreamID) Assignment) []Check {
 	var due []Check
-	for _, id := range slices.Sorted(maps.Keys(p.upstreams)) {
+	for _, id := range p.order {
 		r := p.upstreams[id]
 		assigned := assignment(id)
 		if assigned == Unused && r.failures > 0 && now-r.lastCheck >= p.cfg.RecheckPeriod && !r.running {
@@ -449,7 +457,7 @@
 // Failing returns the upstreams that this balancer's own checks say to avoid, and those of them
 // that are dead, in the order of their IDs.
 func (p *Prober) Failing() (avoid, dead []rattanwood.UpstreamID) {
-	for _, id := range slices.Sorted(maps.Keys(p.upstreams)) {
+	for _, id := range p.order {
 		if p.upstreams[id].shouldAvoid() {
 			avoid = append(avoid, id)
 		}
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -364,3 +364,14 @@
 		})
 	}
 }
+
+// BenchmarkStartDueChecks has a tick of a balancer that knows 150 upstreams, none of which is due.
+func BenchmarkStartDueChecks(b *testing.B) {
+	p := prober.New(prober.DefaultConfig())
+	for id := range rattanwood.UpstreamID(150) {
+		p.Add(0, id*0x9e3779b1)
+	}
+	for b.Loop() {
+		p.StartDueChecks(0, func(rattanwood.UpstreamID) prober.Assignment { return prober.AssignedElsewhere })
+	}
+}
