Limit the new flows of cold upstreams by leases

Ruled out: shares by members known, a fixed share, grants, the first rank by the failure detector (docs/design/cold-upstreams.md). A check of a process's incarnation in votes stayed green when left out; the settle time covers it. Change: package warmer holds votes, leases and an exact sliding count; the message Ballot; first packets are handed over to the holder of the lease (Handover); flows to warming upstreams are thinned and ramped. Services without a rate are served as before. The soak has the event cold. refusalReason looks for an evacuated upstream in all of a route's services. Seen red, each with the part left out once: halving, promise, its window, votes after a start, majority, members that voters know, settle time, hearing anyone, takeover, yielding, lease from the request, late answers, sliding window; repeated packets, packets that waited, reassigned flows, other data centres, counting and serving what is handed over, services without a rate, few warm upstreams, evacuated data centres; thinning, ramp and limit; handling and asking in the node. Existing tests: messenger's fleet sets up nodes in a function of its own and can intercept datagrams; tagger's fixture takes a time and a Warmer. No check was changed.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 soak:
 	go test -count=1 -timeout 120m ./balancer -args -seeds $(SEEDS)
 	go test -count=1 -timeout 120m ./executor -run TestPromises -args -seeds $(SEEDS)
+	go test -count=1 -timeout 120m ./messenger -run TestColdReturn -args -whole
 
 # Runs balancers with tags as processes through random series of faults. NETWORK is the loopback
 # network 127.N, for several side by side.
--- a/internal/node/dump.go
+++ b/internal/node/dump.go
@@ -5,6 +5,7 @@
 
 	"example.org/rattanwood"
 	"example.org/rattanwood/tagger"
+	"example.org/rattanwood/warmer"
 )
 
 // State is the dump of the balancer's tables that operators can fetch.
@@ -33,7 +34,9 @@
 	Invalid     []InvalidState       `json:"invalid"`
 	Evacuations []EvacuationState    `json:"evacuations"`
 	Upstreams   []tagger.UpstreamRow `json:"upstreams"`
-	Flows       []tagger.FlowRow     `json:"flows"`
+	// Cold holds the upstreams of the own data centre that get limited new flows.
+	Cold  []warmer.Row     `json:"cold,omitempty"`
+	Flows []tagger.FlowRow `json:"flows"`
 	// Admission is empty unless admission is turned on.
 	Admission []AdmissionState `json:"admission,omitempty"`
 }
@@ -83,7 +86,7 @@
 		VM: n.cfg.Settings.VM, Incarnation: uint64(n.cfg.Incarnation), Era: n.replica.Position().Era(), Revision: n.replica.Position().Revision(), Settling: n.copier.Settling(now), Version: n.tagger.Version(), AgeMillis: -1,
 		ReaderRank: n.messenger.ReaderRank(), IsReader: n.watcher.IsReader(), SourceUnreachable: n.watcher.SourceUnreachable(), ShuttingDown: n.shuttingDown.Load(),
 		AppliedMillis: (now - n.routingAppliedAt).Milliseconds(),
-		Members:       []MemberState{}, Invalid: append([]InvalidState{}, n.invalidRecords...), Evacuations: n.evacuations(now), Upstreams: []tagger.UpstreamRow{}, Flows: n.tagger.Flows(maxFlows),
+		Members:       []MemberState{}, Invalid: append([]InvalidState{}, n.invalidRecords...), Evacuations: n.evacuations(now), Upstreams: []tagger.UpstreamRow{}, Flows: n.tagger.Flows(maxFlows), Cold: n.warmer.Rows(now, n.tagger.ColdUpstreams(now)),
 	}
 	if age, ok := n.watcher.Age(now); ok {
 		s.AgeMillis = age.Milliseconds()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	"example.org/rattanwood/replicator"
 	"example.org/rattanwood/rotator"
 	"example.org/rattanwood/tagger"
+	"example.org/rattanwood/warmer"
 	"example.org/rattanwood/watcher"
 )
 
@@ -74,14 +75,17 @@
 	// mu guards the decision logic and the other fields up to heldPackets, except the atomic ones.
 	mu        sync.Mutex
 	messenger *messenger.Messenger
-	replica   *replicator.Replicator
-	watcher   *watcher.Watcher
-	copier    *copier.Copier
-	tagger    *tagger.Tagger
-	evacuator *evacuator.Evacuator
-	rotator   *rotator.Rotator
-	prober    *prober.Prober
-	placer    *placer.Placer
+	warmer    *warmer.Warmer
+	// heldLeases are the groups of cold upstreams on which this balancer held the lease at the last tick.
+	heldLeases []warmer.Group
+	replica    *replicator.Replicator
+	watcher    *watcher.Watcher
+	copier     *copier.Copier
+	tagger     *tagger.Tagger
+	evacuator  *evacuator.Evacuator
+	rotator    *rotator.Rotator
+	prober     *prober.Prober
+	placer     *placer.Placer
 	// admitter is nil unless the settings turn admission on.
 	admitter *admitter.Admitter
 	// services are those that routes lead to, by the hash of their names, if admission is turned on.
@@ -145,6 +149,11 @@
 	set := cfg.Settings
 	messengerCfg := messengerConfig(cfg)
 	messengerCfg.Position = n.replica.Position
+	n.warmer = warmer.New(warmer.Config{
+		Self: messengerCfg.Detector.Self, Incarnation: cfg.Incarnation,
+		Overage: set.Warmup.Overage, Slack: set.Warmup.Slack,
+	})
+	messengerCfg.Warmer = n.warmer
 	n.messenger = messenger.New(messengerCfg)
 	for _, address := range set.SeedAddresses() {
 		if address != set.PeerAddress() {
@@ -165,6 +174,7 @@
 	taggerConfig := tagger.DefaultConfig()
 	taggerConfig.DataCentre = rattanwood.DataCentre(set.DataCentre)
 	taggerConfig.Random, taggerConfig.Placer, taggerConfig.Prober = random, n.placer, n.prober
+	taggerConfig.Warmer = n.warmer
 	taggerConfig.Evacuator, taggerConfig.Rotator, taggerConfig.Confiner = n.evacuator, n.rotator, newConfiner(set)
 	if set.Admission {
 		admitterConfig := admitter.DefaultConfig(random)
@@ -373,6 +383,7 @@
 			n.copier.RequestHeartbeats(now)
 		}
 		n.messenger.Tick(now, n.heartbeatPayload)
+		n.requestLeases(now)
 		if now-swept >= sweepPeriod {
 			swept = now
 			members := n.messenger.BalancersPerDataCentre()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -73,6 +73,10 @@
 		n.countRejected("peer_name")
 		return
 	}
+	if h := e.GetHandover(); h != nil {
+		n.handleHandOver(e.GetVm(), h)
+		return
+	}
 	n.mu.Lock()
 	now := n.now()
 	heartbeat, ok := n.messenger.HandleMessage(now, from, e)
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -20,6 +20,7 @@
 	"example.org/rattanwood/detector"
 	"example.org/rattanwood/limiter"
 	"example.org/rattanwood/ranker"
+	"example.org/rattanwood/warmer"
 	"example.org/rattanwood/watcher"
 	"example.org/rattanwood/wire"
 )
@@ -61,6 +62,8 @@
 	// Position returns that of this balancer's replica. Records in heartbeats that aren't newer are left
 	// undecoded: each change arrives from several neighbours.
 	Position func() rattanwood.Position
+	// Warmer holds the leases on cold upstreams; nil turns them off.
+	Warmer *warmer.Warmer
 }
 
 // Send is the action to send a datagram to a balancer.
@@ -176,6 +179,10 @@
 	assignments      *assignments
 	rankedGeneration uint64
 	settling         settling
+	// voters are the members of the own data centre as of votersListedAt, also in the form for Config.Warmer.
+	voters         []*detector.Member
+	voterMembers   []warmer.Member
+	votersListedAt time.Duration
 }
 
 // settling tells when the member list of a balancer that has just started is complete enough to rank
@@ -387,13 +394,20 @@
 	return time.Duration(min(ms-1, maxMillis)) * time.Millisecond, true
 }
 
-// send queues a datagram if the budget allows it. All datagrams are of the class that may overdraw the
-// budget, because nothing else works without heartbeats and a member list.
+// send queues a heartbeat, or a datagram that the member list needs, if the budget allows it. They are of the class
+// that may overdraw the budget, because nothing else works without them.
 func (m *Messenger) send(now time.Duration, to *detector.Member, e *wire.Envelope) {
+	if a, ok := m.prepare(now, limiter.Liveness, to, e); ok {
+		m.actions = append(m.actions, a)
+	}
+}
+
+// prepare returns the action to send a datagram if the budget allows it for a class.
+func (m *Messenger) prepare(now time.Duration, class limiter.Class, to *detector.Member, e *wire.Envelope) (Send, bool) {
 	e.Vm = string(m.cfg.Detector.Self)
 	e.Life = uint64(m.cfg.Detector.Incarnation)
-	if !m.Limiter.Allow(now, limiter.Liveness, proto.Size(e)+headerBytes) {
-		return
+	if !m.Limiter.Allow(now, class, proto.Size(e)+headerBytes) {
+		return Send{}, false
 	}
-	m.actions = append(m.actions, Send{Address: to.Address, Message: e})
+	return Send{Address: to.Address, Message: e}, true
 }
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -40,6 +40,8 @@
 			m.lastPull = 0
 			m.spreadNames(now)
 		}
+	case *wire.Envelope_Ballot:
+		m.handleBallot(now, sender, body.Ballot)
 	case *wire.Envelope_Pull:
 		m.send(now, sender, &wire.Envelope{Body: &wire.Envelope_Roster{Roster: m.Members.BuildMemberList(now, body.Pull)}})
 	}
@@ -66,6 +68,9 @@
 		m.lastRemote = now
 	}
 	m.settling.agreed = m.settling.agreed || !diff.Members
+	if m.cfg.Warmer != nil {
+		m.cfg.Warmer.HearPeer()
+	}
 	if diff.Members && (m.lastPull == 0 || now-m.lastPull >= pullInterval) {
 		m.lastPull = now
 		m.send(now, sender, &wire.Envelope{Body: &wire.Envelope_Pull{Pull: m.Members.BuildPull()}})
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -254,6 +254,11 @@
 	}
 }
 
+// SteadyLoad returns the load of an upstream that gets a number of new flows a second, each with a request.
+func (p *Placer) SteadyLoad(flowsPerSecond float64) float64 {
+	return flowsPerSecond * p.cfg.Window.Seconds()
+}
+
 // Load returns the load of an upstream, extrapolated from the balancers whose load is known here.
 func (p *Placer) Load(now time.Duration, id rattanwood.UpstreamID) Load {
 	own := p.scaled(p.OwnLoad(now, id), p.cfg.DataCentre)
--- a/standins/soaker/monitor.go
+++ b/standins/soaker/monitor.go
@@ -69,7 +69,9 @@
 // flowOpening records when a Caller opened a flow, and the balancers that the first packet and its
 // retransmissions were sent to, by their names in faultEnds.
 type flowOpening struct {
-	openedAt  time.Time
+	openedAt time.Time
+	// sentAt is when the first packet was last sent.
+	sentAt    time.Time
 	balancers []string
 }
 
@@ -142,10 +144,45 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if opening := m.openings[key]; opening != nil {
+		opening.sentAt = time.Now()
 		opening.balancers = append(opening.balancers, balancerFaultPrefix+ip)
 	}
 }
 
+// lastSent returns when a flow's first packet was last sent.
+func (m *monitor) lastSent(key flowEnds) (at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if opening := m.openings[key]; opening != nil {
+		at = opening.sentAt
+	}
+	return at
+}
+
+// Settings of cold upstreams: the number of new flows a second that they bear, and what balancers may add.
+const (
+	warmupRate    = 1.0
+	warmupOverage = 1.0
+	warmupSlack   = 3.0
+)
+
+// checkColdUpstream checks the first packets that a cold upstream got: at most the limit may have been sent and have
+// arrived within the second that ends with the last one. No fault of a balancer excuses more.
+func (m *monitor) checkColdUpstream(name string, packets []firstPacket) {
+	begin := packets[len(packets)-1].arrivedAt.Add(-time.Second)
+	n := 0
+	for _, p := range packets {
+		if p.sentAt.After(begin) && p.arrivedAt.After(begin) {
+			n++
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if n > warmupRate*warmupOverage+warmupSlack && m.noRecentFault(time.Now(), name) {
+		m.recordViolationLocked("a cold upstream got too many new flows within a second", fmt.Sprintf("%s got %d", name, n))
+	}
+}
+
 // balancerFaultPrefix precedes the IP address in the names of balancers in faultEnds.
 const balancerFaultPrefix = "node "
 
--- a/standins/soaker/schedule.go
+++ b/standins/soaker/schedule.go
@@ -50,6 +50,7 @@
 	{"ill", (*soakRun).newFailingRequestsEvent},
 	{"rewind", (*soakRun).newRewindEvent},
 	{"evacuate", (*soakRun).newEvacuationEvent},
+	{"cold", (*soakRun).newColdEvent},
 }
 
 // newBalancerEvent returns an event on a random balancer that no other event acts on.
@@ -250,6 +251,15 @@
 	}}, true
 }
 
+// newColdEvent returns an event in which a further upstream starts that is cold at first.
+func (s *soakRun) newColdEvent() (event, bool) {
+	d := s.randomDuration(2000, 6000)
+	if err := s.addColdUpstream(serviceSwap, dataCentre, d); err != nil {
+		return event{"cold upstream", func(context.Context) error { return err }}, true
+	}
+	return event{fmt.Sprint("upstream starts, cold for ", d), func(context.Context) error { return nil }}, true
+}
+
 // registrationLease is the time after which the platform removes the registration of an upstream that has
 // stopped: three missed heartbeats.
 const registrationLease = 3600 * time.Millisecond
--- a/tagger/admission.go
+++ b/tagger/admission.go
@@ -87,8 +87,10 @@
 			}
 			unconfined[share.Service] = !confined
 			total := 0.0
-			for _, u := range t.eligibleUpstreams(now, route, share.Service) {
-				total += u.capacity(now)
+			pool := t.eligibleUpstreams(now, route, share.Service, anyUpstream)
+			shares := t.warmingShares(now, pool)
+			for i, u := range pool {
+				total += t.capacity(now, u, shares, i)
 			}
 			slots[share.Service] = max(slots[share.Service], total)
 		}
--- a/tagger/allow.go
+++ b/tagger/allow.go
@@ -18,10 +18,14 @@
 	for _, s := range route.Shares {
 		for _, u := range t.upstreamsOf(s.Service) {
 			switch {
-			case !u.registered || u.Draining || t.allowed(now, route, u):
+			case !u.registered || u.Draining:
+			case t.allowed(now, route, u):
+				if t.isLimited(now, u) {
+					return Limited
+				}
 			case t.cfg.Confiner.Allows(route, u.DataCentre):
-				return Evacuated
-			default:
+				reason = Evacuated
+			case reason != Evacuated:
 				reason = Confined
 			}
 		}
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -37,9 +37,12 @@
 	var except rattanwood.UpstreamID
 	r := t.recentFlows[keyOf(s)]
 	if r != nil && r.opening {
+		u := t.upstreams[r.upstream]
+		if r.handed || u != nil && t.isLimited(now, u) {
+			return t.reopenCold(now, s, packet, route, r)
+		}
 		t.cfg.Prober.ReportSuspicion(r.upstream)
 		unanswered := t.isUnanswered(r)
-		u := t.upstreams[r.upstream]
 		if u != nil && !unanswered && !t.cfg.Prober.ShouldAvoid(now, r.upstream) && t.allowed(now, route, u) {
 			r.recordCopy(now, s)
 			return forward(now, u, Retransmitted)
@@ -60,6 +63,9 @@
 	if u == nil {
 		return t.resetIfCurrent(now, t.refusalReason(now, route))
 	}
+	if t.isLimited(now, u) {
+		return t.openCold(now, s, packet, route, u, reason)
+	}
 	t.cfg.Placer.AddFlow(now, u.id, t.expectedRequests(s.Target))
 	t.rememberFlow(now, s, u.id, packet)
 	return forward(now, u, reason)
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -42,6 +42,8 @@
 	requests int
 	// latency is the time until the last response began; zero means unknown.
 	latency time.Duration
+	// handed is set if the first packet was handed over, so that the flow may be on another upstream.
+	handed bool
 }
 
 func (t *Tagger) rememberFlow(now time.Duration, s rattanwood.Segment, id rattanwood.UpstreamID, packet []byte) {
@@ -122,14 +124,15 @@
 func (t *Tagger) ReassignOpeningFlows(now time.Duration, id rattanwood.UpstreamID) []OutgoingPacket {
 	var out []OutgoingPacket
 	for _, r := range t.recentFlows {
-		if r.upstream != id || !r.opening || r.copyMissed(now) {
+		// The balancer to which a first packet was handed over reassigns its flow.
+		if r.upstream != id || !r.opening || r.handed || r.copyMissed(now) {
 			continue
 		}
 		route := t.routes[r.segment.Target]
 		if route == nil {
 			continue
 		}
-		u := t.chooseUpstream(now, route, t.drawService(route), id)
+		u := t.chooseWarm(now, route, t.drawService(route), id)
 		if u == nil || u.id == id {
 			continue
 		}
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -21,6 +21,7 @@
 	"example.org/rattanwood/placer"
 	"example.org/rattanwood/prober"
 	"example.org/rattanwood/rotator"
+	"example.org/rattanwood/warmer"
 )
 
 // Action says what to do with a packet.
@@ -33,10 +34,12 @@
 	Forward
 	// Reset tells the Caller that the flow can't continue.
 	Reset
+	// HandOver passes the packet to another balancer, which counts the new flows of a cold upstream.
+	HandOver
 )
 
 // String returns the name of the action.
-func (a Action) String() string { return [...]string{"drop", "forward", "reset"}[a] }
+func (a Action) String() string { return [...]string{"drop", "forward", "reset", "handover"}[a] }
 
 // Reason is the cause of a decision.
 type Reason uint8
@@ -76,13 +79,15 @@
 	Resuming
 	// Evacuated means that the upstreams that could take the flow are in evacuated data centres.
 	Evacuated
+	// Limited means that the upstreams that could take the flow are cold and may get none now.
+	Limited
 	reasonCount
 )
 
 // String returns the name of the reason.
 func (r Reason) String() string {
 	return [...]string{
-		"tagged", "placed", "repeated", "moved", "unbound", "empty", "confined", "unknown", "dead", "untagged", "forged", "stale", "overloaded", "waking", "evacuated",
+		"tagged", "placed", "repeated", "moved", "unbound", "empty", "confined", "unknown", "dead", "untagged", "forged", "stale", "overloaded", "waking", "evacuated", "limited",
 	}[r]
 }
 
@@ -90,11 +95,13 @@
 type Verdict struct {
 	Action Action
 	Reason Reason
-	// Instance and Address are those of the upstream. They are set for Forward only.
+	// Instance and Address are those of the upstream. They are set for Forward and HandOver only.
 	Instance rattanwood.InstanceID
 	Address  netip.AddrPort
 	// Refusal is set for the reason Overloaded only.
 	Refusal *Refusal
+	// Peer is the balancer that gets the packet. It is set for HandOver only.
+	Peer rattanwood.VMID
 }
 
 // OutgoingPacket is a packet that the balancer sends on its own initiative, not in response to an
@@ -140,6 +147,8 @@
 	Confiner confiner.Confiner
 	// Admission decides which new flows are let in; nil lets in all.
 	Admission Admission
+	// Warmer limits the new flows of cold upstreams whose service states a rate; nil means no limit.
+	Warmer *warmer.Warmer
 }
 
 // DefaultConfig returns the settings that the daemon uses.
@@ -171,7 +180,7 @@
 type upstream struct {
 	rattanwood.Registration
 	id rattanwood.UpstreamID
-	// warmUntil is when the upstream has warmed up.
+	// warmUntil is when the upstream has warmed up, or zero if it never reported to be cold.
 	warmUntil time.Duration
 	// removedAt is when the registration was removed, if the upstream isn't registered.
 	removedAt  time.Duration
@@ -205,8 +214,10 @@
 	version     rattanwood.Version
 	healthPaths map[rattanwood.ServiceID]string
 	routes      map[netip.AddrPort]*rattanwood.Route
-	upstreams   map[rattanwood.UpstreamID]*upstream
-	services    map[rattanwood.ServiceID][]*upstream
+	// limits holds what operators state about the upstreams of each service.
+	limits    map[rattanwood.ServiceID]rattanwood.ServiceLimits
+	upstreams map[rattanwood.UpstreamID]*upstream
+	services  map[rattanwood.ServiceID][]*upstream
 	// servicesOutdated is true while services doesn't reflect the current upstreams.
 	servicesOutdated bool
 	recentFlows      map[flowKey]*recentFlow
@@ -230,10 +241,11 @@
 	slotsUpdatedAt time.Duration
 	slotsOutdated  bool
 	admissions     map[AdmissionOutcome]uint64
+	handOvers      HandOverCounts
 }
 
 // Counts holds the number of packets by action and reason.
-type Counts [Reset + 1][reasonCount]uint64
+type Counts [HandOver + 1][reasonCount]uint64
 
 // New returns a tagger without routes and upstreams.
 func New(cfg Config) *Tagger {
@@ -278,7 +290,7 @@
 	if r.Version <= t.version && len(t.routes) > 0 {
 		return false
 	}
-	t.version, t.healthPaths = r.Version, r.HealthPaths
+	t.version, t.healthPaths, t.limits = r.Version, r.HealthPaths, r.Services
 	t.routes = make(map[netip.AddrPort]*rattanwood.Route, len(r.Routes))
 	for i := range r.Routes {
 		t.routes[r.Routes[i].Address] = &r.Routes[i]
@@ -329,7 +341,10 @@
 	if u.Service != r.Service {
 		t.servicesOutdated = true
 	}
-	u.Registration, u.registered, u.warmUntil = r, true, now+r.RemainingWarmup
+	u.Registration, u.registered = r, true
+	if r.RemainingWarmup > 0 || u.warmUntil > now {
+		u.warmUntil = now + r.RemainingWarmup
+	}
 	t.slotsOutdated = t.slotsOutdated || result == RegistrationChanged
 	delete(t.unknownTags, id)
 	return result
