Check that copies of handed packets don't reach cold upstreams directly

Cause: TestFlowsAreHandedOver stayed green with copies forwarded by the balancer that had handed over the first packet.

--- a/tagger/cold_test.go
+++ b/tagger/cold_test.go
@@ -91,6 +91,8 @@
 		if again := f.sendFirst(caller, board); again.Action == tagger.HandOver {
 			c.Assert(again.Instance, qt.Equals, v.Instance)
 			handed[v.Instance]++
+		} else {
+			c.Assert(again.Instance != v.Instance, qt.IsTrue, qt.Commentf("not sent to a cold upstream directly"))
 		}
 	}
 	c.Assert(handed, qt.DeepEquals, map[rattanwood.InstanceID]int{instance(1): coldShare, instance(2): coldShare})
