Take a majority of the members known in the last hour

The detector forgets members that were dead for five minutes, so that each of several balancers that are cut off alone for longer would have counted itself as its whole data centre and taken the lease on cold upstreams. TestLongIsolationGivesNoLease, red without the change.

--- a/warmer/warmer.go
+++ b/warmer/warmer.go
@@ -45,6 +45,8 @@
 	// numGroups spreads the work over several balancers of a data centre. Each group costs its holder a request
 	// to each of the others in each round.
 	numGroups = 4
+	// membersTime is how long a majority is taken of a number of members after some of them were forgotten.
+	membersTime = time.Hour
 )
 
 // Group is a part of a data centre's upstreams with a lease of its own.
@@ -128,8 +130,10 @@
 	seed   uint64
 	votes  [numGroups]vote
 	leases [numGroups]lease
-	// members is the number of members of the data centre, this one included.
-	members int
+	// members is the number of members of the data centre, this one included, and membersAt when as many were last
+	// known.
+	members   int
+	membersAt time.Duration
 	// hasPeers is set once another balancer has been heard, or if there is none.
 	hasPeers bool
 	admitted map[rattanwood.UpstreamID]*Counter
@@ -160,7 +164,7 @@
 // Tick returns the requests to send to all other members of the data centre. Cold are the data centre's cold
 // upstreams, by the rate that they bear. Without any, no leases are asked for.
 func (w *Warmer) Tick(now time.Duration, cold map[rattanwood.UpstreamID]float64, members []Member) []Request {
-	w.members = len(members) + 1
+	w.countMembers(now, len(members)+1)
 	w.removeExpired(now)
 	var isCold [numGroups]bool
 	for id := range cold {
@@ -184,6 +188,14 @@
 	return out
 }
 
+// countMembers sets the number of members of the data centre, this balancer included, that a majority is taken of. It
+// is the highest of the last membersTime, since one that is cut off for long forgets the others.
+func (w *Warmer) countMembers(now time.Duration, n int) {
+	if n >= w.members || now-w.membersAt > membersTime {
+		w.members, w.membersAt = n, now
+	}
+}
+
 // shouldAsk reports whether this balancer should ask for the lease on a group: as its holder, as the first rank, or
 // as a lower rank once no other has asked for long enough. Of two that ask at the same time, the lower rank stops.
 func (w *Warmer) shouldAsk(now time.Duration, g Group, members []Member) bool {
--- a/warmer/warmer_test.go
+++ b/warmer/warmer_test.go
@@ -408,3 +408,24 @@
 		})
 	}
 }
+
+// TestLongIsolationGivesNoLease has a balancer that knew two others forget them, as the detector does with members
+// that are dead for long. Alone, it would count itself as the whole data centre.
+func TestLongIsolationGivesNoLease(t *testing.T) {
+	c := qt.New(t)
+	cold := map[rattanwood.UpstreamID]float64{11: rate}
+	w := warmer.New(warmer.Config{Self: "vm-0", Incarnation: 1, Overage: overage, Slack: slack})
+	w.HearPeer()
+	others := []warmer.Member{{Seed: ranker.Seed("vm-1")}, {Seed: ranker.Seed("vm-2")}}
+	admitted := 0
+	for now := step; now < 10*time.Minute; now += step {
+		if now > 5*time.Minute {
+			others = nil
+		}
+		w.Tick(now, cold, others)
+		if w.Admit(now, 11, rate) {
+			admitted++
+		}
+	}
+	c.Assert(admitted, qt.Equals, 0)
+}
