--- a/tagger/allow.go
+++ b/tagger/allow.go
@@ -8,7 +8,7 @@
 
 // allowed reports whether the operators' requests let new flows of a route go to an upstream, whatever its
 // health and load. It binds also where any other upstream would be a last resort.
-func (t *Tagger) allowed(_ time.Duration, route *rattanwood.Route, u *upstream) bool {
+func (t *Tagger) allowed(route *rattanwood.Route, u *upstream) bool {
 	return t.cfg.Confiner.Allows(route, u.DataCentre) && !t.cfg.Evacuator.Evacuated(u.DataCentre)
 }
 
@@ -19,7 +19,7 @@
 		for _, u := range t.upstreamsOf(s.Service) {
 			switch {
 			case !u.registered || u.Draining:
-			case t.allowed(now, route, u):
+			case t.allowed(route, u):
 				if t.isLimited(now, u) {
 					return Limited
 				}
@@ -40,7 +40,7 @@
 		return
 	}
 	for _, other := range t.upstreamsOf(u.Service) {
-		if other.DataCentre == t.cfg.DataCentre && other.registered && !other.Draining && t.allowed(now, route, other) {
+		if other.DataCentre == t.cfg.DataCentre && other.registered && !other.Draining && t.allowed(route, other) {
 			return
 		}
 	}
--- a/tagger/cold.go
+++ b/tagger/cold.go
@@ -162,7 +162,7 @@
 // would take over the flow's tag. It goes elsewhere if that way most likely is lost.
 func (t *Tagger) reopenCold(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, r *recentFlow) Verdict {
 	u := t.upstreams[r.upstream]
-	if u != nil && !t.isUnanswered(r) && t.allowed(now, route, u) {
+	if u != nil && !t.isUnanswered(r) && t.allowed(route, u) {
 		if !r.handed {
 			t.cfg.Prober.ReportSuspicion(r.upstream)
 			return t.repeatCold(now, s, u, r)
@@ -195,13 +195,7 @@
 
 // openWarm places a flow on an upstream that isn't limited, and on except only if there is no other.
 func (t *Tagger) openWarm(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, reason Reason, except rattanwood.UpstreamID) Verdict {
-	u := t.chooseWarm(now, route, t.drawService(route), except)
-	if u == nil {
-		return t.resetIfCurrent(now, t.refusalReason(now, route))
-	}
-	t.cfg.Placer.AddFlow(now, u.id, t.expectedRequests(s.Target))
-	t.rememberFlow(now, s, u.id, packet)
-	return forward(now, u, reason)
+	return t.place(now, s, packet, route, t.chooseWarm(now, route, t.drawService(route), except), reason)
 }
 
 // WithholdHandOver decides anew on a packet that could not be handed over.
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -36,38 +36,43 @@
 	if route == nil {
 		return t.resetIfCurrent(now, NoRoute)
 	}
-	reason := Placed
-	var except rattanwood.UpstreamID
-	r := t.recentFlows[keyOf(s)]
-	if r != nil && r.opening {
-		u := t.upstreams[r.upstream]
-		if r.handed || u != nil && t.isLimited(now, u) {
-			return t.reopenCold(now, s, packet, route, r)
+	if r := t.recentFlows[keyOf(s)]; r != nil {
+		if r.opening {
+			return t.handleRepeated(now, s, packet, route, r)
 		}
-		t.cfg.Prober.ReportSuspicion(r.upstream)
-		unanswered := t.isUnanswered(r)
-		if u != nil && !unanswered && !t.cfg.Prober.ShouldAvoid(now, r.upstream) && t.allowed(now, route, u) {
-			r.recordCopy(now, s)
-			return forward(now, u, Retransmitted)
-		}
-		if u != nil && unanswered {
-			u.silentAt = now
-		}
-		reason, except = Reassigned, r.upstream
-	}
-	if r != nil && !r.opening && r.opened && s.Ack > 0 && now-r.placedAt < openingTime {
-		// A copy of the first packet was overtaken by the flow's next one.
-		if u := t.upstreams[r.upstream]; u != nil {
+		if u := t.upstreams[r.upstream]; u != nil && r.opened && s.Ack > 0 && now-r.placedAt < openingTime {
+			// A copy of the first packet was overtaken by the flow's next one.
 			return forward(now, u, Retransmitted)
 		}
 	}
 	service := t.drawService(route)
-	if reason == Placed {
-		if refusal := t.admit(now, route, service, s); refusal != nil {
-			return Verdict{Action: Reset, Reason: Overloaded, Refusal: refusal}
-		}
+	if refusal := t.admit(now, route, service, s); refusal != nil {
+		return Verdict{Action: Reset, Reason: Overloaded, Refusal: refusal}
 	}
-	u := t.chooseUpstream(now, route, service, except)
+	return t.place(now, s, packet, route, t.chooseUpstream(now, route, service, 0), Placed)
+}
+
+// handleRepeated decides on a copy of an opening flow's first packet. It goes to the same upstream, unless that can't
+// or most likely won't answer.
+func (t *Tagger) handleRepeated(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, r *recentFlow) Verdict {
+	u := t.upstreams[r.upstream]
+	if r.handed || u != nil && t.isLimited(now, u) {
+		return t.reopenCold(now, s, packet, route, r)
+	}
+	t.cfg.Prober.ReportSuspicion(r.upstream)
+	unanswered := t.isUnanswered(r)
+	if u != nil && !unanswered && !t.cfg.Prober.ShouldAvoid(now, r.upstream) && t.allowed(route, u) {
+		r.recordCopy(now, s)
+		return forward(now, u, Retransmitted)
+	}
+	if u != nil && unanswered {
+		u.silentAt = now
+	}
+	return t.place(now, s, packet, route, t.chooseUpstream(now, route, t.drawService(route), r.upstream), Reassigned)
+}
+
+// place opens a flow on an upstream that was chosen for it, or refuses the flow if that is nil.
+func (t *Tagger) place(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, u *upstream, reason Reason) Verdict {
 	t.recordAway(now, route, u)
 	if u == nil {
 		return t.resetIfCurrent(now, t.refusalReason(now, route))
--- a/tagger/place.go
+++ b/tagger/place.go
@@ -57,7 +57,7 @@
 	var ready, failing, lapsed []*upstream
 	for _, u := range t.upstreamsOf(service) {
 		switch {
-		case !t.allowed(now, route, u) || !usable(now, u):
+		case !t.allowed(route, u) || !usable(now, u):
 		case u.registered && u.Draining:
 			// Not even as a last resort: it shuts down before the flow ends.
 		case u.registered && (t.cfg.Prober.ShouldAvoid(now, u.id) || t.isSilent(now, u)):
