--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -353,9 +353,12 @@
 	if !changed {
 		return
 	}
+	message := "left the rotation, new flows can only be served elsewhere"
+	if stays {
+		message = "returned to the rotation"
+	}
 	age, _ := n.watcher.Age(now)
-	n.log.Warn("rotation changed, since new flows can or can't be served here", zap.Bool("stays", stays),
-		zap.Inline(logger.Position(n.replica.Position())), zap.Int64(logger.KeyAge, age.Milliseconds()))
+	n.log.Warn(message, zap.Inline(logger.Position(n.replica.Position())), zap.Int64(logger.KeyAge, age.Milliseconds()))
 }
 
 // close closes the unused connections and the sockets, except that of serveWeb, which closes it itself.
