--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -385,7 +385,7 @@
 func (f *fleet) open(i int, port uint16, address string) int {
 	f.c.Helper()
 	for {
-		sent, drops := time.Now(), len(f.logs[i].linesWith(droppedAfterPause))
+		sent, drops := time.Now(), f.dropsAfterPause()
 		f.send(i, packet(port, address, flagOpen, 0, 1))
 		// Steps rather than the clock, so that the nodes get this time also after a pause.
 		for range retransmissionTime / time.Millisecond {
@@ -395,12 +395,22 @@
 			time.Sleep(time.Millisecond)
 		}
 		paused := time.Unix(0, f.lastPause.Load()).After(sent.Add(-retransmissionTime))
-		if f.received() || !paused || len(f.logs[i].linesWith(droppedAfterPause)) == drops {
+		if f.received() || !paused || f.dropsAfterPause() == drops {
 			return f.receivedBy()
 		}
 	}
 }
 
+// dropsAfterPause returns the number of first packets that nodes dropped after a pause. A node that was started again
+// has another log.
+func (f *fleet) dropsAfterPause() int {
+	n := 0
+	for _, log := range f.logs {
+		n += len(log.linesWith(droppedAfterPause))
+	}
+	return n
+}
+
 // receivedBy waits for the next packet that a node sends. It returns the index of the upstream that receives
 // the packet, or -1 if the Caller receives a reset.
 func (f *fleet) receivedBy() int {
