Leave out reports that weigh nothing from the fleet's demand

After a pause of over 12 minutes all weights of a data centre are zero before the next Tick drops its reports, and zero divided by zero made the load NaN: a dump could fail, and nothing was refused. TestDecisionRightAfterAPause, red without the change.

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -162,6 +162,19 @@
 	qt.Check(t, offered(13*time.Second) < 0.5, qt.IsTrue)
 }
 
+// TestDecisionRightAfterAPause has a balancer decide after a pause so long that its reports weigh nothing, before its
+// next Tick drops them.
+func TestDecisionRightAfterAPause(t *testing.T) {
+	a := newAdmitter()
+	a.SetSlots(0, service, 2)
+	measure(a, important)
+	a.MergeReport(0, "far", "dc1", admitter.Report{Service: service, Level: admitter.LevelOf(important.Class), Offered: 3, Admitted: 2})
+	a.Tick(0, map[rattanwood.DataCentre]int{"dc0": 1, "dc1": 1})
+	d := a.Decide(15*time.Minute, important)
+	qt.Check(t, d.Admit, qt.IsTrue)
+	qt.Check(t, math.IsNaN(d.Load), qt.IsFalse)
+}
+
 // TestForgottenLevels has two balancers, of which one got offers of a class that is no longer in use, report to each
 // other in thousandths of a slot.
 func TestForgottenLevels(t *testing.T) {
--- a/admitter/demand.go
+++ b/admitter/demand.go
@@ -199,10 +199,12 @@
 		out[i] = out[i].plus(s.ownDemand(now, l), ownShare)
 	}
 	for _, p := range s.peers {
-		scale := a.membersOf(p.dataCentre) * a.weight(now, p) / weights[p.dataCentre]
-		if scale == 0 {
+		weight := a.weight(now, p)
+		if weight == 0 {
+			// It is so old that the weights of its data centre may be zero in sum.
 			continue
 		}
+		scale := a.membersOf(p.dataCentre) * weight / weights[p.dataCentre]
 		for _, d := range p.loads {
 			i := slices.IndexFunc(s.levels, func(l *levelState) bool { return l.level == d.level })
 			if i < 0 {
