--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 PROTOC_GEN_GO_VERSION := v1.36.12
 PROTOC_GEN_DRPC_VERSION := v1.1.0
 
-.PHONY: demo build test unit red lint bench soak soak-processes fuzz gen tidy clean
+.PHONY: demo build test unit red lint bench soak soak-processes soak-upgrade fuzz gen tidy clean
 
 # Runs the whole path as processes; the last line of its output is the report.
 demo: build
@@ -62,6 +62,15 @@
 soak-processes: build
 	$(BIN)/standin soak --bin $(BIN)/rattanwood --seed $(SEED) --seeds $(SEEDS) --slot $(NETWORK) --again
 
+# The same while balancers of an earlier build are replaced one after the other, there and back. OLD is a commit, by
+# default the one in production.
+OLD ?= $(shell sed -n 's/^production = "\(.*\)"/\1/p' deploy/system.toml)
+soak-upgrade: build
+	@rm -rf $(BIN)/old && git worktree prune && git worktree add -q --detach $(BIN)/old $(OLD)
+	@cd $(BIN)/old && go build -o $(BIN)/rattanwood-old ./cmd/rattanwood
+	@git worktree remove --force $(BIN)/old
+	$(BIN)/standin soak --bin $(BIN)/rattanwood --old $(BIN)/rattanwood-old --seed $(SEED) --seeds $(SEEDS) --slot $(NETWORK)
+
 # A short fuzz of each decoder at a border.
 FUZZ_TIME ?= 10s
 fuzz:
--- a/standins/soaker/schedule.go
+++ b/standins/soaker/schedule.go
@@ -291,6 +291,9 @@
 // recoveryTime it counts answers for verificationTime.
 func (s *soakRun) playRandomEvents(ctx context.Context) error {
 	group, groupCtx := errgroup.WithContext(ctx)
+	if s.cfg.Old != "" {
+		group.Go(func() error { return s.replaceBuilds(groupCtx) })
+	}
 	for end := time.Now().Add(time.Duration(s.cfg.Seconds) * time.Second); time.Now().Before(end) && groupCtx.Err() == nil; {
 		sleep(groupCtx, s.randomDuration(int(minEventGap.Milliseconds()), int(maxEventGap.Milliseconds())))
 		e, ok := eventKinds[s.rng.IntN(s.kindCount)].newEvent(s)
--- a/standins/soaker/soaker.go
+++ b/standins/soaker/soaker.go
@@ -27,6 +27,7 @@
 // Config holds the settings that Soak and Load share.
 type Config struct {
 	Bin                string  `help:"Program of the balancer." required:""`
+	Old                string  `help:"Program of an earlier build. The fleet starts with it, and balancers are replaced by Bin and back again, one after the other."`
 	Seed               uint64  `help:"Seed, the first one if there are several." default:"1"`
 	Seconds            int     `help:"Seconds of load with faults." default:"10"`
 	Balancers          int     `name:"nodes" help:"Number of balancers." default:"6"`
@@ -69,6 +70,11 @@
 	if err != nil {
 		return err
 	}
+	if c.Old != "" {
+		if c.Old, err = filepath.Abs(c.Old); err != nil {
+			return err
+		}
+	}
 	var runs []seedRun
 	if c.RunRegressions {
 		runs = append(runs, regressions...)
@@ -125,7 +131,9 @@
 	name, ip     string
 	settingsFile string
 	process      *launcher.Process
-	storeLink    *link
+	// upgraded is set if the balancer runs Config.Bin rather than Config.Old.
+	upgraded  bool
+	storeLink *link
 	// inUse is set while an event acts on the balancer; monitor.mu guards it.
 	inUse bool
 }
@@ -343,14 +351,14 @@
 // addBalancer writes the settings of balancer i and starts it. The first two balancers are the
 // bootstrap addresses (seeds) of all; balancers ignore the ports of seeds.
 func (s *soakRun) addBalancer(i int) error {
-	b := &balancerProcess{name: fmt.Sprintf("vm-%d", i), ip: s.ip(40, i+1), settingsFile: filepath.Join(s.processes.Dir, fmt.Sprintf("vm-%d.json", i))}
+	b := &balancerProcess{upgraded: s.cfg.Old == "", name: fmt.Sprintf("vm-%d", i), ip: s.ip(40, i+1), settingsFile: filepath.Join(s.processes.Dir, fmt.Sprintf("vm-%d.json", i))}
 	var err error
 	if b.storeLink, err = newLink(s.ip(2, i+1)+":8169", s.store.listener.Addr().String(), false); err != nil {
 		return err
 	}
-	text := fmt.Sprintf(`{"vm": %q, "centre": %q, "address": %q, "platform": %q, "affinity": "tag", "seeds": [%q, %q],
+	text := fmt.Sprintf(`{"vm": %q, "centre": %q, "address": %q, "platform": %q, "affinity": "tag", "admission": %t, "seeds": [%q, %q],
 		"ports": {"peer": %d, "tunnel": %d, "web": %s}, "warmup": {"overage": %g, "slack": %g}, "times": {"apply": 3000, "grace": 6}}`,
-		b.name, dataCentre, b.ip, b.storeLink.listenAddress, s.ip(40, 1)+":1", s.ip(40, 2)+":1", peerPort, tunnelPort, webPort, warmupOverage, warmupSlack)
+		b.name, dataCentre, b.ip, b.storeLink.listenAddress, s.cfg.Old != "", s.ip(40, 1)+":1", s.ip(40, 2)+":1", peerPort, tunnelPort, webPort, warmupOverage, warmupSlack)
 	if err := os.WriteFile(b.settingsFile, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -359,10 +367,33 @@
 }
 
 func (s *soakRun) startBalancer(b *balancerProcess) (err error) {
-	b.process, err = s.processes.Start(b.name, s.cfg.Bin, "serve", b.settingsFile)
+	program := s.cfg.Old
+	if b.upgraded {
+		program = s.cfg.Bin
+	}
+	b.process, err = s.processes.Start(b.name, program, "serve", b.settingsFile)
 	return err
 }
 
+// replaceBuilds replaces all balancers one after the other by those of the other build, and then back again.
+func (s *soakRun) replaceBuilds(ctx context.Context) error {
+	for range 2 {
+		for _, b := range s.balancers {
+			for !s.reserve(b) && ctx.Err() == nil {
+				sleep(ctx, minEventGap)
+			}
+			b.upgraded = !b.upgraded
+			s.logEvent(fmt.Sprintf("replace %s, new build %t", b.name, b.upgraded))
+			err := s.stopAndRestart(ctx, b)
+			s.release(b)
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // recordBalancerFault records that a balancer has a fault for d.
 func (s *soakRun) recordBalancerFault(b *balancerProcess, d time.Duration) {
 	s.recordFault(balancerFaultPrefix+b.ip, d)
