Count flows that may be lost apart from broken ones in the demo's report

Cause: make demo printed "broken":1 and exited with 0. The flow was less than five seconds old when its balancer was killed, which the guarantees allow.

Change: `broken` counts the flows that are guaranteed (planned and aged), `young` those that may be lost; each has a line that says which.

Flows of that age are still lost.

--- a/standins/runner/report.go
+++ b/standins/runner/report.go
@@ -20,12 +20,16 @@
 // balancers, except the control bytes.
 type Report struct {
 	Flows int `json:"flows"`
-	// BrokenFlows counts the flows that reached two upstreams or stalled.
+	// BrokenFlows counts the flows that reached two upstreams or stalled although they are guaranteed: those of
+	// BrokenByPlannedChange and BrokenEstablished.
 	BrokenFlows int `json:"broken"`
 	// BrokenByPlannedChange counts the broken flows that no unplanned balancer failure explains.
 	BrokenByPlannedChange int `json:"planned"`
 	// BrokenEstablished counts the broken flows that were at least 5 s old when a balancer failed.
 	BrokenEstablished int `json:"aged"`
+	// LostYoungFlows counts the flows that were less than 5 s old when their balancer failed and ended by that, which
+	// is allowed.
+	LostYoungFlows int `json:"young"`
 	// StalledFlows counts the flows that the Caller gave up because a packet got no answer.
 	StalledFlows int `json:"stalled"`
 	Requests     int `json:"requests"`
@@ -150,27 +154,33 @@
 	for _, name := range callerReport.StalledFlows {
 		brokenAt[name] = seenFlows[name].LastMillis
 	}
-	r.BrokenFlows = len(brokenAt)
 	for name, at := range brokenAt {
-		d.classifyBrokenFlow(r, name, startedAt[name], at)
+		d.classifyEndedFlow(r, name, startedAt[name], at)
 	}
+	r.BrokenFlows = r.BrokenByPlannedChange + r.BrokenEstablished
 	for service, counts := range flowCounts {
 		r.Imbalance[service] = imbalance(counts)
 	}
 }
 
-// classifyBrokenFlow attributes a broken flow to an unplanned failure shortly before, or else to a
-// planned change. A flow that was younger than establishedAgeMillis at the failure is allowed to
-// break and counts as neither. Times are in Unix milliseconds.
-func (d *demo) classifyBrokenFlow(r *Report, name string, startedAt, brokenAt int64) {
-	fmt.Fprintf(os.Stderr, "broken flow: %s started at %d ms, broke at %d ms\n", name, startedAt-d.loadStart.UnixMilli(), brokenAt-d.loadStart.UnixMilli())
+// classifyEndedFlow attributes a flow that broke to an unplanned failure shortly before, or else to a planned change.
+// A flow that was younger than establishedAgeMillis at the failure may be lost. Times are in Unix milliseconds.
+func (d *demo) classifyEndedFlow(r *Report, name string, startedAt, brokenAt int64) {
+	kind := "broken by a planned change"
+	defer func() {
+		fmt.Fprintf(os.Stderr, "flow %s: %s, started at %d ms, ended at %d ms\n", name, kind, startedAt-d.loadStart.UnixMilli(), brokenAt-d.loadStart.UnixMilli())
+	}()
 	for _, failure := range d.failureTimes {
 		failedAt := failure.UnixMilli()
 		if brokenAt < failedAt || brokenAt > failedAt+failureWindowMillis {
 			continue
 		}
 		if failedAt-startedAt >= establishedAgeMillis {
+			kind = "broken by a failure, although it was established"
 			r.BrokenEstablished++
+		} else {
+			kind = "lost with its balancer, as flows under 5 s may be"
+			r.LostYoungFlows++
 		}
 		return
 	}
