--- a/standins/runner/report.go
+++ b/standins/runner/report.go
@@ -155,7 +155,9 @@
 		brokenAt[name] = seenFlows[name].LastMillis
 	}
 	for name, at := range brokenAt {
-		d.classifyEndedFlow(r, name, startedAt[name], at)
+		count, cause := d.explainEndedFlow(r, startedAt[name], at)
+		*count++
+		fmt.Fprintf(os.Stderr, "flow %s: %s, started at %d ms, ended at %d ms\n", name, cause, startedAt[name]-d.loadStart.UnixMilli(), at-d.loadStart.UnixMilli())
 	}
 	r.BrokenFlows = r.BrokenByPlannedChange + r.BrokenEstablished
 	for service, counts := range flowCounts {
@@ -163,28 +165,21 @@
 	}
 }
 
-// classifyEndedFlow attributes a flow that broke to an unplanned failure shortly before, or else to a planned change.
-// A flow that was younger than establishedAgeMillis at the failure may be lost. Times are in Unix milliseconds.
-func (d *demo) classifyEndedFlow(r *Report, name string, startedAt, brokenAt int64) {
-	kind := "broken by a planned change"
-	defer func() {
-		fmt.Fprintf(os.Stderr, "flow %s: %s, started at %d ms, ended at %d ms\n", name, kind, startedAt-d.loadStart.UnixMilli(), brokenAt-d.loadStart.UnixMilli())
-	}()
+// explainEndedFlow attributes a flow that broke to an unplanned failure shortly before, or else to a planned change,
+// and returns the count in the report that it belongs to. A flow that was younger than establishedAgeMillis at the
+// failure may be lost. Times are in Unix milliseconds.
+func (d *demo) explainEndedFlow(r *Report, startedAt, brokenAt int64) (count *int, cause string) {
 	for _, failure := range d.failureTimes {
 		failedAt := failure.UnixMilli()
-		if brokenAt < failedAt || brokenAt > failedAt+failureWindowMillis {
+		switch {
+		case brokenAt < failedAt || brokenAt > failedAt+failureWindowMillis:
 			continue
+		case failedAt-startedAt >= establishedAgeMillis:
+			return &r.BrokenEstablished, "broken by a failure, although it was established"
 		}
-		if failedAt-startedAt >= establishedAgeMillis {
-			kind = "broken by a failure, although it was established"
-			r.BrokenEstablished++
-		} else {
-			kind = "lost with its balancer, as flows under 5 s may be"
-			r.LostYoungFlows++
-		}
-		return
+		return &r.LostYoungFlows, "lost with its balancer, as flows under 5 s may be"
 	}
-	r.BrokenByPlannedChange++
+	return &r.BrokenByPlannedChange, "broken by a planned change"
 }
 
 // imbalance returns the ratio of the maximum to the mean, or 0 if all counts are 0.
