review: show that a balancer can lose a change that others list page by page

Cause: replicator.ReplaceAll stores records of later pages, newer than the listing's position, and the change list that is sent to peers then leaves them out although it claims to be complete. Nothing outside review/ is touched.

--- /dev/null
+++ b/review/harness/store.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// storeItem is an item of the store.
+type storeItem struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Created  uint64 `json:"created,omitempty"`
+	Lease    uint64 `json:"lease"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// store is the platform's metadata store.
+type store struct {
+	mu       sync.Mutex
+	items    map[string]storeItem
+	events   []storeItem
+	revision uint64
+	changed  chan struct{}
+	// page is the largest number of items in an answer.
+	page int
+	// lastWatch holds when each machine sent its newest watch.
+	lastWatch map[string]time.Time
+	// afterRange is called when an answer to GET /kv-range was computed, before it is sent.
+	afterRange func(machine, prefix, after string, more bool)
+	// silent holds the machines that get no answer.
+	silent map[string]bool
+	log    *recorder
+}
+
+func newStore(log *recorder, page int) *store {
+	return &store{items: map[string]storeItem{}, revision: 100, changed: make(chan struct{}), page: page, lastWatch: map[string]time.Time{}, silent: map[string]bool{}, log: log}
+}
+
+// put writes an item and returns when the store acknowledged it.
+func (s *store) put(key string, value any) time.Time {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	it := storeItem{Key: key, Value: data, Revision: s.revision, Created: s.revision}
+	if old, ok := s.items[key]; ok {
+		it.Created = old.Created
+	}
+	s.items[key] = it
+	s.publish(it)
+	return time.Now()
+}
+
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.items, key)
+	s.publish(storeItem{Key: key, Revision: s.revision, Deleted: true})
+}
+
+func (s *store) publish(it storeItem) {
+	s.events = append(s.events, it)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// reader returns the machine that watches, or nothing unless just one has watched in the last 2.5 s.
+func (s *store) reader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reader := ""
+	for m, t := range s.lastWatch {
+		if time.Since(t) > 2500*time.Millisecond {
+			continue
+		}
+		if reader != "" {
+			return ""
+		}
+		reader = m
+	}
+	return reader
+}
+
+// answerDelay is the time that the store takes for an answer.
+const answerDelay = 4 * time.Millisecond
+
+func (s *store) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv-range", s.handleRange)
+	mux.HandleFunc("GET /kv-watch", s.handleWatch)
+	return mux
+}
+
+// machineKey is the key of the calling machine in the context of a call.
+type machineKey struct{}
+
+// listen serves the store to a machine at an address of its own: calls over loopback don't show who sent them.
+func (s *store) listen(address, machine string) (netip.AddrPort, error) {
+	lis, err := net.Listen("tcp4", address)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	srv := &http.Server{Handler: s.handler(), BaseContext: func(net.Listener) context.Context {
+		return context.WithValue(context.Background(), machineKey{}, machine)
+	}}
+	go func() { _ = srv.Serve(lis) }()
+	return netip.MustParseAddrPort(lis.Addr().String()), nil
+}
+
+func machineOf(r *http.Request) string {
+	machine, _ := r.Context().Value(machineKey{}).(string)
+	return machine
+}
+
+func (s *store) isSilent(r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent[machineOf(r)]
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (s *store) handleRange(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(answerDelay)
+	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
+	s.mu.Lock()
+	items := []storeItem{}
+	for k, it := range s.items {
+		if strings.HasPrefix(k, prefix) && k > after {
+			items = append(items, it)
+		}
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	more := len(items) > s.page
+	if more {
+		items = items[:s.page]
+	}
+	at, hook := s.revision, s.afterRange
+	s.mu.Unlock()
+	s.log.note("store: %s lists %q after %q: %d items at %d, more %v", machineOf(r), prefix, after, len(items), at, more)
+	if hook != nil {
+		hook(machineOf(r), prefix, after, more)
+	}
+	if s.isSilent(r) {
+		<-r.Context().Done()
+		return
+	}
+	reply(w, map[string]any{"items": items, "has_more": more, "at": at})
+}
+
+func (s *store) handleWatch(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(answerDelay)
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("wait_ms"))
+	s.mu.Lock()
+	s.lastWatch[machineOf(r)] = time.Now()
+	s.mu.Unlock()
+	limit := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		events := []storeItem{}
+		for _, e := range s.events {
+			if e.Revision > after && strings.HasPrefix(e.Key, q.Get("prefix")) {
+				events = append(events, e)
+			}
+		}
+		at, changed := s.revision, s.changed
+		s.mu.Unlock()
+		done := len(events) > 0
+		if !done {
+			select {
+			case <-changed:
+				continue
+			case <-r.Context().Done():
+				return
+			case <-limit:
+			}
+		}
+		if s.isSilent(r) {
+			<-r.Context().Done()
+			return
+		}
+		if done {
+			s.log.note("store: %s watched after %d: %d events, at %d", machineOf(r), after, len(events), at)
+		}
+		reply(w, map[string]any{"events": events, "at": at})
+		return
+	}
+}
