review: show resets of open flows on routes that were just added, and two more cases

Cause: a balancer whose replica was confirmed up to 2 s ago resets an open flow whose route it doesn't know yet (2); an answer to a watch above 4 MB stops all reads until the history lapses (3); a repeated first packet goes to a second backend after one lost datagram (4).

--- a/review/harness/backend.go
+++ b/review/harness/backend.go
@@ -23,8 +23,10 @@
 	log     *recorder
 	// onOpening is called for each first packet that arrives.
 	onOpening func(b *backend, p packet)
-	// loseSynAck, if set, tells whether a SYN+ACK is lost on its way.
-	loseSynAck func(p packet) bool
+	// onReset, if set, is called for each packet that is answered with a reset.
+	onReset func(b *backend, p packet)
+	// lose, if set, tells whether the next datagram is lost on its way.
+	lose func() bool
 
 	mu       sync.Mutex
 	udp      *net.UDPConn
@@ -114,6 +116,10 @@
 // send sends a packet to a requester.
 func (b *backend) send(f *serverFlow, p *packet) {
 	p.src, p.dst, p.echo = f.route, f.client, f.echo
+	if b.lose != nil && b.lose() {
+		b.log.note("network: a packet of %s to %v is lost, flags %d, %d bytes", b.name(), f.client, p.flags, len(p.data))
+		return
+	}
 	_, _ = b.udp.WriteToUDPAddrPort(p.encode(), netip.AddrPortFrom(f.client.Addr(), b.port))
 }
 
@@ -146,6 +152,9 @@
 			return
 		}
 		b.log.note("%s sends a reset to %v: it doesn't hold the flow to %v", b.name(), p.src, p.dst)
+		if b.onReset != nil {
+			b.onReset(b, p)
+		}
 		rst := packet{src: p.dst, dst: p.src, flags: flagRST, seq: p.ack, echo: p.echo}
 		_, _ = b.udp.WriteToUDPAddrPort(rst.encode(), netip.AddrPortFrom(p.src.Addr(), b.port))
 		return
@@ -187,12 +196,7 @@
 }
 
 func (b *backend) sendSynAck(f *serverFlow) {
-	p := &packet{flags: flagSYN | flagACK, seq: f.own, ack: f.next}
-	if b.loseSynAck != nil && b.loseSynAck(packet{src: f.route, dst: f.client}) {
-		b.log.note("network: the SYN+ACK of %s to %v is lost", b.name(), f.client)
-		return
-	}
-	b.send(f, p)
+	b.send(f, &packet{flags: flagSYN | flagACK, seq: f.own, ack: f.next})
 }
 
 // answer sends the response to a request.
--- a/review/harness/case2.go
+++ b/review/harness/case2.go
@@ -13,10 +13,10 @@
 // youngRoute adds routes while balancers are stopped and started in turn. Requesters use each route as soon as the
 // store has acknowledged it, and keep their flows.
 func youngRoute(e *env) int {
-	const service, count, seconds = "huvo11a", 8, 60
+	const service, count, seconds, lead = "huvo11a", 8, 60, 25 * time.Millisecond
 	e.zones = []string{"seq-a", "seq-b"}
 	for i := range count {
-		b, err := e.addBackend(i, 0x10000000+uint64(i)*0x01000001, service, 10*time.Millisecond)
+		b, err := e.addBackend(i, 0x10000000+uint64(i)*0x01000001, service, 3*time.Millisecond)
 		if err != nil {
 			fmt.Println(err)
 			return cantRun
@@ -24,7 +24,7 @@
 		e.store.put(b.key(), b.entry("ready"))
 	}
 	version, routes := 7, 3
-	e.store.put("op/config", config(version, routes, service))
+	e.store.put("op/config", unsafeConfig(version, routes, service))
 	if !e.startFleet(4, e.zones) {
 		return cantRun
 	}
@@ -44,30 +44,26 @@
 		mu.Lock()
 		at := acked[f.dst]
 		mu.Unlock()
-		e.log.note("FLOW: flow %v > %v, open at i-%08x since its first packet went by way of %s, is reset by the system %.3f s after its route was acknowledged; its last packet went by way of %s",
-			f.src, f.dst, f.upstream, f.openedBy, time.Since(at).Seconds(), f.lastVia)
+		e.log.note("FLOW: flow %v > %v, open at i-%08x since its first packet went by way of %s, is reset by the system %.3f s after its route was acknowledged; its last packet went by way of %s; a request was waiting: %v",
+			f.src, f.dst, f.upstream, f.openedBy, time.Since(at).Seconds(), f.lastVia, f.waiting)
 	}
 	var flows sync.WaitGroup
 	use := func(route netip.AddrPort, n int) {
 		for i := range n {
 			flows.Go(func() {
-				// Requesters open flows all the time, not only at the moment of the change.
-				time.Sleep(time.Duration(i) * 2 * time.Millisecond)
-				for try := range 60 {
-					f, ok := r.dial(route)
-					if !ok {
-						time.Sleep(10 * time.Millisecond)
-						continue
-					}
-					for k := range 40 {
-						if _, ok := f.request(fmt.Sprintf("%d-%d-%d", f.src.Port(), try, k), time.Second); !ok {
-							break
-						}
-						time.Sleep(20 * time.Millisecond)
-					}
-					f.closeFlow()
+				// Requesters open flows all the time; these are the first ones to the new address.
+				time.Sleep(time.Duration(i) * 1500 * time.Microsecond)
+				f, ok := r.dial(route)
+				if !ok {
 					return
 				}
+				for k := range 40 {
+					if _, ok := f.request(fmt.Sprintf("%d-%d", f.src.Port(), k), time.Second); !ok {
+						break
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+				f.closeFlow()
 			})
 		}
 	}
@@ -75,18 +71,15 @@
 	var plan sync.WaitGroup
 	plan.Go(func() {
 		for !over(stop) {
-			// A storm of changes lasts 4 s, with 0.33 s between two.
-			for range 12 {
-				version, routes = version+3, routes+1
-				at := e.store.put("op/config", config(version, routes, service))
-				mu.Lock()
-				acked[routeAddress(routes-1)] = at
-				mu.Unlock()
-				e.log.note("operator: version %d adds route %v", version, routeAddress(routes-1))
-				use(routeAddress(routes-1), 50)
-				time.Sleep(330 * time.Millisecond)
-			}
-			time.Sleep(500 * time.Millisecond)
+			// The changes come at a pace slower than that of a storm, which has 0.33 s between two.
+			e.fleet.sleepUntilProbe(lead)
+			version, routes = version+3, routes+1
+			at := e.store.put("op/config", unsafeConfig(version, routes, service))
+			mu.Lock()
+			acked[routeAddress(routes-1)] = at
+			mu.Unlock()
+			e.log.note("operator: version %d adds route %v", version, routeAddress(routes-1))
+			use(routeAddress(routes-1), 30)
 		}
 	})
 	if e.trouble {
@@ -99,7 +92,7 @@
 					time.Sleep(200 * time.Millisecond)
 					_ = e.fleet.start(b)
 				})
-				time.Sleep(1300 * time.Millisecond)
+				time.Sleep(4 * time.Second)
 			}
 		})
 	}
@@ -111,7 +104,7 @@
 	defer r.mu.Unlock()
 	e.log.note("flows opened %d, refused %d, silent %d, answered %d, reset %d", r.stats.opened, r.stats.refused, r.stats.silent, r.stats.answered, r.stats.reset)
 	e.log.note("open flows that the system reset: %d", breaks)
-	fmt.Printf("flows opened %d, refused %d; open flows that the system reset: %d\n", r.stats.opened, r.stats.refused, breaks)
+	fmt.Printf("flows opened %d, refused %d; open flows that the system reset: %d; requests never answered: %d\n", r.stats.opened, r.stats.refused, breaks, r.stats.lost)
 	if breaks > 0 {
 		return broken
 	}
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -20,7 +20,7 @@
 	next  uint16
 	// onReset is called for each reset of a flow that was open.
 	onReset func(f *clientFlow, p packet)
-	stats   struct{ opened, refused, silent, answered, reset, unanswered int }
+	stats   struct{ opened, refused, silent, answered, reset, lost int }
 }
 
 // clientFlow is a flow at a requester.
@@ -32,15 +32,17 @@
 	echo       uint32
 	server     uint32 // number of the SYN+ACK that opened the flow
 	open, dead bool
-	upstream   uint32 // tag of the backend at which the flow opened
-	openedBy   string
-	lastVia    string
-	pending    *packet
-	tries      int
-	timer      *time.Timer
-	opened     chan bool
-	response   chan string
-	synCopies  uint32
+	// waiting is set while a request has no response yet.
+	waiting   bool
+	upstream  uint32 // tag of the backend at which the flow opened
+	openedBy  string
+	lastVia   string
+	pending   *packet
+	tries     int
+	timer     *time.Timer
+	opened    chan bool
+	response  chan string
+	synCopies uint32
 }
 
 func newRequester(ip string, f *fleet, log *recorder) (*requester, error) {
@@ -129,7 +131,7 @@
 	text := fmt.Sprintf("GET /live HTTP/1.1\r\nHost: %s\r\nX-Rattanwood-Attempt-Id: %s\r\n\r\n", f.dst, id)
 	p := &packet{flags: flagACK, seq: f.seq, ack: f.ack, data: []byte(text)}
 	f.seq += uint32(len(text))
-	f.pending, f.tries = p, 0
+	f.pending, f.tries, f.waiting = p, 0, true
 	f.send(p)
 	f.await()
 	r.mu.Unlock()
@@ -141,7 +143,7 @@
 		return s, true
 	case <-time.After(limit):
 		r.mu.Lock()
-		r.stats.unanswered++
+		r.stats.lost++
 		r.mu.Unlock()
 		return "", false
 	}
@@ -194,6 +196,9 @@
 			return
 		}
 		r.stats.reset++
+		if f.waiting {
+			r.stats.lost++
+		}
 		if r.onReset != nil {
 			r.onReset(f, p)
 		}
@@ -229,6 +234,7 @@
 	case p.seq == f.ack:
 		f.ack += uint32(len(p.data))
 		r.stats.answered++
+		f.waiting = false
 		select {
 		case f.response <- string(p.data):
 		default:
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -35,6 +35,8 @@
 	mu        sync.Mutex
 	balancers []*balancer
 	client    *http.Client
+	// probed is when the routers last asked the balancers.
+	probed time.Time
 }
 
 // ports are those of all balancers.
@@ -112,17 +114,35 @@
 	}
 }
 
+// probeInterval is the time between two questions of the routers.
+const probeInterval = 500 * time.Millisecond
+
+// sleepUntilProbe sleeps until some time before the routers ask next.
+func (f *fleet) sleepUntilProbe(before time.Duration) {
+	f.mu.Lock()
+	next := f.probed.Add(probeInterval)
+	f.mu.Unlock()
+	pause := time.Until(next) - before
+	if pause < probeInterval/10 {
+		pause += probeInterval
+	}
+	time.Sleep(pause)
+}
+
 // probeLoop asks each balancer twice a second whether it is ready, as the platform's routers do.
 func (f *fleet) probeLoop(stop <-chan struct{}) {
 	f.client = &http.Client{Timeout: 400 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	for {
+		f.mu.Lock()
+		f.probed = time.Now()
+		f.mu.Unlock()
 		for _, b := range f.balancers {
 			go f.probe(b)
 		}
 		select {
 		case <-stop:
 			return
-		case <-time.After(500 * time.Millisecond):
+		case <-time.After(probeInterval):
 		}
 	}
 }
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -137,6 +137,15 @@
 	}
 }
 
+// unsafeConfig is config with routes whose requests must not be repeated.
+func unsafeConfig(version, routes int, service string) map[string]any {
+	c := config(version, routes, service)
+	for _, r := range c["routes"].([]map[string]any) {
+		r["kind"] = "unsafe"
+	}
+	return c
+}
+
 // startFleet starts n balancers in zones and waits until all are in rotation.
 func (e *env) startFleet(n int, zones []string) bool {
 	e.zones = zones
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -25,11 +25,14 @@
 
 // store is the platform's metadata store.
 type store struct {
-	mu       sync.Mutex
-	items    map[string]storeItem
-	events   []storeItem
-	revision uint64
-	changed  chan struct{}
+	mu     sync.Mutex
+	items  map[string]storeItem
+	events []storeItem
+	// written holds when each event was written; discarded is the revision up to which the history is gone.
+	written   []time.Time
+	discarded uint64
+	revision  uint64
+	changed   chan struct{}
 	// page is the largest number of items in an answer.
 	page int
 	// lastWatch holds when each machine sent its newest watch.
@@ -72,11 +75,23 @@
 }
 
 func (s *store) publish(it storeItem) {
-	s.events = append(s.events, it)
+	s.events, s.written = append(s.events, it), append(s.written, time.Now())
+	s.discard()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// history is how long the store keeps its changes, the setting history_s.
+const history = 20 * time.Second
+
+// discard forgets the changes that are older than history.
+func (s *store) discard() {
+	for len(s.written) > 0 && time.Since(s.written[0]) > history {
+		s.discarded = s.events[0].Revision
+		s.events, s.written = s.events[1:], s.written[1:]
+	}
+}
+
 // reader returns the machine that watches, or nothing unless just one has watched in the last 2.5 s.
 func (s *store) reader() string {
 	s.mu.Lock()
@@ -125,6 +140,13 @@
 	return machine
 }
 
+// setSilent makes the store give no answers to a machine.
+func (s *store) setSilent(machine string, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[machine] = silent
+}
+
 func (s *store) isSilent(r *http.Request) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -175,6 +197,12 @@
 	limit := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		s.discard()
+		if after < s.discarded {
+			s.mu.Unlock()
+			http.Error(w, "this history is gone", http.StatusGone)
+			return
+		}
 		events := []storeItem{}
 		for _, e := range s.events {
 			if e.Revision > after && strings.HasPrefix(e.Key, q.Get("prefix")) {
@@ -198,7 +226,11 @@
 			return
 		}
 		if done {
-			s.log.note("store: %s watched after %d: %d events, at %d", machineOf(r), after, len(events), at)
+			size := 0
+			for _, e := range events {
+				size += len(e.Value)
+			}
+			s.log.note("store: %s watched after %d: %d events of %d bytes, at %d", machineOf(r), after, len(events), size, at)
 		}
 		reply(w, map[string]any{"events": events, "at": at})
 		return
