review: let the faults of review/1 and review/3 come at random times

Cause: both scripts placed a change into a window of milliseconds. Change: in review/1 the listing's pages are 0.45 s apart and the kill comes at any time of a release; in review/3 changes come at random times.

--- a/review/harness/case1.go
+++ b/review/harness/case1.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"syscall"
@@ -10,16 +11,23 @@
 
 func init() { cases["lost-change"] = lostChange }
 
-// drainTimeout is the bound drain_timeout_ms.
-const drainTimeout = 3 * time.Second
+// stepGap is the time between two steps of the release.
+const stepGap = time.Second
 
-// contactWindow is the bound contact_window_ms.
-const contactWindow = 4 * time.Second
+// Bounds of the grown deployments: drain_timeout_ms, config_apply_ms and contact_window_ms.
+const (
+	grownDrain   = 5 * time.Second
+	grownApply   = 5 * time.Second
+	grownContact = 5 * time.Second
+)
 
-// lostChange kills the process that reads the store and starts it again. While it lists the store, page by page, a
-// step of a release is written: a new backend registers, and an old one starts to drain.
+// lostChange kills the process that reads the store and starts it again, while a release goes on: each second a new
+// backend registers, and an old one starts to drain. The configuration fills a page of the store's listings, and a link
+// of 20 Mbit/s takes 0.45 s for it, so that a step of the release comes between two pages of the new process's listing.
 func lostChange(e *env) int {
-	const service, count = "huvo11a", 56
+	const service, count, routes, rounds, steps = "huvo11a", 56, 5000, 5, 6
+	e.fleet.apply = grownApply
+	e.store.page, e.store.linkRate = 500, 20_000_000/8
 	e.zones = []string{"seq-a", "seq-b"}
 	var mu sync.Mutex
 	type arrival struct {
@@ -51,7 +59,7 @@
 		}
 		e.store.put(b.key(), b.entry("ready"))
 	}
-	e.store.put("op/config", config(7, 3, service))
+	e.store.put("op/config", config(7, routes, service))
 	if !e.startFleet(4, e.zones) {
 		return cantRun
 	}
@@ -112,10 +120,10 @@
 			a := arrivals[judged]
 			at, ok := drained[a.b]
 			f := via[a.src]
-			if !ok || f == nil || a.when.Sub(at) <= drainTimeout {
+			if !ok || f == nil || a.when.Sub(at) <= grownDrain {
 				continue
 			}
-			if k, ok := killed[f.openedBy]; ok && a.when.Sub(k) < 2*contactWindow {
+			if k, ok := killed[f.openedBy]; ok && a.when.Sub(k) < 2*grownContact {
 				continue
 			}
 			late++
@@ -123,19 +131,25 @@
 			e.log.note("DRAIN: the opening packet of %v reached %s by way of %s %.3f s after it was acknowledged as draining", a.src, a.b.name(), f.openedBy, a.when.Sub(at).Seconds())
 		}
 	}
-	const rounds = 5
+	next := 0
 	for round := 0; round < rounds && late == 0; round++ {
-		fresh, old := count+2*round, count-1-2*round
-		var once sync.Once
-		first := func() { once.Do(func() { step(fresh, old) }) }
-		if !e.trouble {
-			time.Sleep(500 * time.Millisecond)
-			first()
-		} else if !e.killReader(killed, first) {
-			return cantRun
+		if e.trouble {
+			if !e.killReader(killed, func() {
+				for range steps {
+					step(count+next, count-1-next)
+					next++
+					time.Sleep(stepGap)
+				}
+			}) {
+				return cantRun
+			}
+		} else {
+			for range steps {
+				step(count+next, count-1-next)
+				next++
+				time.Sleep(stepGap)
+			}
 		}
-		time.Sleep(time.Second)
-		step(fresh+1, old-1)
 		// A backend that drains serves for drain_timeout_ms and a little longer, at times many seconds.
 		time.Sleep(9 * time.Second)
 		judge()
@@ -151,9 +165,8 @@
 	return held
 }
 
-// killReader kills the process that reads the store and starts it again. It calls between after the first page of the
-// listing that the new process makes.
-func (e *env) killReader(killed map[string]time.Time, between func()) bool {
+// killReader kills the process that reads the store and starts it again, and carries out a release meanwhile.
+func (e *env) killReader(killed map[string]time.Time, release func()) bool {
 	reader := ""
 	for range 200 {
 		if reader = e.store.reader(); reader != "" {
@@ -175,28 +188,15 @@
 		return false
 	}
 	e.log.note("the reader of the store is %s", reader)
-	e.store.mu.Lock()
-	e.store.afterRange = func(machine, prefix, _ string, more bool) {
-		if machine == reader && prefix == "" && more {
-			between()
-		}
-	}
-	last := e.store.lastWatch[reader]
-	e.store.mu.Unlock()
-	// Shortly after a watch was answered, all know that the records are current.
-	for range 400 {
-		e.store.mu.Lock()
-		began := e.store.lastWatch[reader]
-		e.store.mu.Unlock()
-		if began != last {
-			break
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	time.Sleep(200 * time.Millisecond)
+	released := make(chan struct{})
+	go func() { release(); close(released) }()
+	// The kill comes at any time of the release.
+	time.Sleep(stepGap + rand.N(stepGap))
 	e.fleet.signal(victim, syscall.SIGKILL)
 	killed[victim.name] = time.Now()
 	<-victim.done
 	time.Sleep(200 * time.Millisecond)
-	return e.fleet.start(victim) == nil
+	ok := e.fleet.start(victim) == nil
+	<-released
+	return ok
 }
--- a/review/harness/case3.go
+++ b/review/harness/case3.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"syscall"
@@ -13,7 +14,7 @@
 // youngRoute adds routes while balancers are stopped and started in turn. Requesters use each route as soon as the
 // store has acknowledged it, and keep their flows.
 func youngRoute(e *env) int {
-	const service, count, seconds, lead = "huvo11a", 8, 60, 25 * time.Millisecond
+	const service, count, seconds = "huvo11a", 8, 90
 	e.zones = []string{"seq-a", "seq-b"}
 	for i := range count {
 		b, err := e.addBackend(i, 0x10000000+uint64(i)*0x01000001, service, 3*time.Millisecond)
@@ -72,7 +73,7 @@
 	plan.Go(func() {
 		for !over(stop) {
 			// The changes come at a pace slower than that of a storm, which has 0.33 s between two.
-			e.fleet.sleepUntilProbe(lead)
+			time.Sleep(350*time.Millisecond + rand.N(150*time.Millisecond))
 			version, routes = version+3, routes+1
 			at := e.store.put("op/config", unsafeConfig(version, routes, service))
 			mu.Lock()
@@ -92,7 +93,7 @@
 					time.Sleep(200 * time.Millisecond)
 					_ = e.fleet.start(b)
 				})
-				time.Sleep(4 * time.Second)
+				time.Sleep(2500 * time.Millisecond)
 			}
 		})
 	}
--- a/review/harness/case4.go
+++ b/review/harness/case4.go
@@ -9,6 +9,9 @@
 
 func init() { cases["large-answer"] = largeAnswer }
 
+// contactWindow is the bound contact_window_ms.
+const contactWindow = 4 * time.Second
+
 // configApply is the bound config_apply_ms.
 const configApply = 3 * time.Second
 
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -30,6 +30,8 @@
 type fleet struct {
 	root, dir string
 	ports     ports
+	// apply is the bound config_apply_ms.
+	apply     time.Duration
 	store     *store
 	log       *recorder
 	mu        sync.Mutex
@@ -67,7 +69,7 @@
 		"listen":  map[string]any{"tunnel": fmt.Sprintf("%s:%d", b.ip, f.ports.tunnel), "web": fmt.Sprintf("%s:%d", b.ip, f.ports.web)},
 		"control": map[string]any{"rate": 27648, "burst": 262144},
 		"region":  "seq", "regions": regions, "admission": true,
-		"times": map[string]any{"apply": 3000, "grace": 6},
+		"times": map[string]any{"apply": f.apply.Milliseconds(), "grace": 6},
 	}, "", "  ")
 	if err != nil {
 		return err
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -73,7 +73,7 @@
 		return cantRun
 	}
 	e.store = newStore(log, 50)
-	e.fleet = &fleet{root: root, dir: dir, ports: p, log: log, store: e.store}
+	e.fleet = &fleet{root: root, dir: dir, ports: p, log: log, store: e.store, apply: configApply}
 	defer e.fleet.stopAll()
 	result := make(chan int, 1)
 	go func() { result <- run(e) }()
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -33,19 +34,19 @@
 	discarded uint64
 	revision  uint64
 	changed   chan struct{}
-	// page is the largest number of items in an answer.
-	page int
+	// page is the largest number of items in a listing's answer, and pageBytes that of their bytes.
+	page, pageBytes int
+	// linkRate is the rate of each machine's link in bytes a second; zero means any.
+	linkRate int
 	// lastWatch holds when each machine sent its newest watch.
 	lastWatch map[string]time.Time
-	// afterRange is called when an answer to GET /kv-range was computed, before it is sent.
-	afterRange func(machine, prefix, after string, more bool)
 	// silent holds the machines that get no answer.
 	silent map[string]bool
 	log    *recorder
 }
 
 func newStore(log *recorder, page int) *store {
-	return &store{items: map[string]storeItem{}, revision: 100, changed: make(chan struct{}), page: page, lastWatch: map[string]time.Time{}, silent: map[string]bool{}, log: log}
+	return &store{items: map[string]storeItem{}, revision: 100, changed: make(chan struct{}), page: page, pageBytes: 1 << 20, lastWatch: map[string]time.Time{}, silent: map[string]bool{}, log: log}
 }
 
 // put writes an item and returns when the store acknowledged it.
@@ -167,9 +168,24 @@
 	return s.silent[machineOf(r)]
 }
 
-func reply(w http.ResponseWriter, v any) {
+// reply sends an answer at the rate of the machine's link.
+func (s *store) reply(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	const slices = 100
+	for part := range slices {
+		from, to := len(data)*part/slices, len(data)*(part+1)/slices
+		if _, err := w.Write(data[from:to]); err != nil {
+			return
+		}
+		if s.linkRate > 0 {
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(time.Duration(to-from) * time.Second / time.Duration(s.linkRate))
+		}
+	}
 }
 
 func (s *store) handleRange(w http.ResponseWriter, r *http.Request) {
@@ -183,21 +199,23 @@
 		}
 	}
 	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
-	more := len(items) > s.page
-	if more {
-		items = items[:s.page]
+	size, n := 0, 0
+	for n < min(len(items), s.page) {
+		if size += base64.StdEncoding.EncodedLen(len(items[n].Value)) + 100; n > 0 && size > s.pageBytes {
+			break
+		}
+		n++
 	}
-	at, hook := s.revision, s.afterRange
+	more := len(items) > n
+	items = items[:n]
+	at := s.revision
 	s.mu.Unlock()
 	s.log.note("store: %s lists %q after %q: %d items at %d, more %v", machineOf(r), prefix, after, len(items), at, more)
-	if hook != nil {
-		hook(machineOf(r), prefix, after, more)
-	}
 	if s.isSilent(r) {
 		<-r.Context().Done()
 		return
 	}
-	reply(w, map[string]any{"items": items, "has_more": more, "at": at})
+	s.reply(w, map[string]any{"items": items, "has_more": more, "at": at})
 }
 
 func (s *store) handleWatch(w http.ResponseWriter, r *http.Request) {
@@ -246,7 +264,7 @@
 			}
 			s.log.note("store: %s watched after %d: %d events of %d bytes, at %d", machineOf(r), after, len(events), size, at)
 		}
-		reply(w, map[string]any{"events": events, "at": at})
+		s.reply(w, map[string]any{"events": events, "at": at})
 		return
 	}
 }
