--- a/review/harness/case4.go
+++ b/review/harness/case4.go
@@ -84,6 +84,8 @@
 			}()
 		}
 	}()
+	// Right after the start of the fleet several balancers may read.
+	time.Sleep(4 * time.Second)
 	for range 500 {
 		if e.store.reader() != "" {
 			break
