review: cut the reader of review/4 off right after it has read

Change: changes come each 0.33 s exactly, and the cut comes after a read, so that five versions come together.

--- a/review/harness/case4.go
+++ b/review/harness/case4.go
@@ -92,7 +92,25 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	begin := time.Now()
+	// cutOff partitions the reader from the store, right after it has read.
+	cutOff := func(reader string) {
+		last := e.store.watchedAt(reader)
+		for !over(e.stop) && e.store.watchedAt(reader) == last {
+			time.Sleep(2 * time.Millisecond)
+		}
+		time.Sleep(50 * time.Millisecond)
+		mu.Lock()
+		cut, cutAt = reader, time.Now()
+		mu.Unlock()
+		e.log.note("network: %s is partitioned from the store", reader)
+		e.store.setSilent(reader, true)
+		time.AfterFunc(cutTime, func() {
+			e.store.setSilent(reader, false)
+			e.log.note("network: %s reaches the store again", reader)
+		})
+	}
+	begin, started := time.Now(), false
+	next := begin
 	cutAfter := 300 * time.Millisecond
 	for time.Since(begin) < 4*time.Second {
 		version, n = version+3, n+1
@@ -101,18 +119,12 @@
 		list = append(list, added{route: routeAddress(n - 1), acked: at})
 		mu.Unlock()
 		e.log.note("operator: version %d adds route %v", version, routeAddress(n-1))
-		if reader := e.store.reader(); e.trouble && cut == "" && reader != "" && time.Since(begin) > cutAfter {
-			mu.Lock()
-			cut, cutAt = reader, time.Now()
-			mu.Unlock()
-			e.log.note("network: %s is partitioned from the store", reader)
-			e.store.setSilent(reader, true)
-			time.AfterFunc(cutTime, func() {
-				e.store.setSilent(reader, false)
-				e.log.note("network: %s reaches the store again", reader)
-			})
+		if reader := e.store.reader(); e.trouble && !started && reader != "" && time.Since(begin) > cutAfter {
+			started = true
+			go cutOff(reader)
 		}
-		time.Sleep(330 * time.Millisecond)
+		next = next.Add(330 * time.Millisecond)
+		time.Sleep(time.Until(next))
 	}
 	time.Sleep(25 * time.Second)
 	mu.Lock()
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -110,6 +110,13 @@
 	return reader
 }
 
+// watchedAt returns when a machine sent its newest watch.
+func (s *store) watchedAt(machine string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastWatch[machine]
+}
+
 // newestReader returns the machine that sent the newest watch.
 func (s *store) newestReader() string {
 	s.mu.Lock()
