tagger: don't reset open flows for routes that are newer than the replica

Cause: a missing route counted as gone if the replica had been confirmed within 2 s. Such a confirmation may be older than the route. In the traced case it was 565 ms old, the route 19 ms. Ruled out: a record that was lost (the balancer got revision 211 30 ms later), a balancer out of touch (age 565 ms), a wrong route table (the reset names revision 210, the flow was placed at 211). Change: an open flow that another balancer placed is reset for a missing route or upstream only if the replica was confirmed a second or more after the flow was first seen here. The same holds for tags that were asked for before, for an upstream whose old address serves another one, and for copies of first packets without a route, handed over or not. Why it works: whoever placed the flow knew the route before the flow's packets came here, so a replica that was current after that knows it too, or knows that it was dropped. Tests: TestFlowsYoungerThanReplicaAreNotReset failed in all four cases before, TestVerdicts in its two new ones. The case "route that was deleted" of TestVerdicts and "its address is reassigned" of TestRemovedUpstreams expected resets of flows that had never been seen: now the flow is seen before the change, as in the cases that they stand for, and new cases hold what an unseen flow gets.

--- a/tagger/allocate.go
+++ b/tagger/allocate.go
@@ -304,7 +304,7 @@
 	}
 	route := t.routes[s.Target]
 	if route == nil || !slices.ContainsFunc(route.Shares, func(share rattanwood.Share) bool { return share.Service == q.Service }) {
-		return t.resetIfCurrent(now, NoRoute)
+		return t.refuseUnrouted(now, s)
 	}
 	r := t.recentFlows[keyOf(s)]
 	if r != nil && r.opening && r.request != nil {
--- a/tagger/cold.go
+++ b/tagger/cold.go
@@ -238,7 +238,7 @@
 	}
 	route := t.routes[s.Target]
 	if route == nil {
-		return t.resetIfCurrent(now, NoRoute)
+		return t.refuseUnrouted(now, s)
 	}
 	if r := t.recentFlows[keyOf(s)]; r != nil && r.opening && !r.handed {
 		if u := t.upstreams[r.upstream]; u != nil && t.mayServe(now, route, u) {
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -35,7 +35,7 @@
 	}
 	route := t.routes[s.Target]
 	if route == nil {
-		return t.resetIfCurrent(now, NoRoute)
+		return t.refuseUnrouted(now, s)
 	}
 	if r := t.recentFlows[keyOf(s)]; r != nil {
 		if r.opening {
@@ -58,6 +58,16 @@
 	return t.place(now, s, packet, route, t.chooseUpstream(now, route, service, 0), Placed)
 }
 
+// refuseUnrouted decides on the first packet of a flow whose target has no route.
+func (t *Tagger) refuseUnrouted(now time.Duration, s rattanwood.Segment) Verdict {
+	if s.Ack > 0 {
+		// Another balancer may have placed the flow by an earlier copy, so that it may be open by now.
+		return t.resetEstablished(now, s, NoRoute)
+	}
+	delete(t.undecided, keyOf(s))
+	return t.resetIfCurrent(now, NoRoute)
+}
+
 // handleRepeated decides on a copy of an opening flow's first packet. It goes to the same upstream, unless that can't
 // or most likely won't answer.
 func (t *Tagger) handleRepeated(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, r *recentFlow) Verdict {
@@ -117,7 +127,7 @@
 		// The host may still run: while it drains, or when only its registration's lease has
 		// expired.
 		t.cfg.Prober.ReportUnregistered(now, u.id, u.removedAt)
-		if t.isCurrent(now) && now-u.removedAt > t.cfg.ReregistrationTime && t.addressReused(u) {
+		if t.isCurrent(now) && now-u.removedAt > t.cfg.ReregistrationTime && t.addressReused(u) && !t.mayPostdate(now, s) {
 			return t.resetEstablished(now, s, UpstreamDead)
 		}
 	}
@@ -128,6 +138,7 @@
 }
 
 func (t *Tagger) handleUnknownTag(now time.Duration, s rattanwood.Segment) Verdict {
+	postdates := t.mayPostdate(now, s)
 	since, known := t.unknownTags[s.Tag]
 	if !known {
 		if len(t.unknownTags) < t.cfg.MaxRecentFlows {
@@ -135,7 +146,7 @@
 		}
 		return Verdict{Reason: UnknownTag}
 	}
-	if now-since < t.cfg.UnknownTagTime {
+	if postdates || now-since < t.cfg.UnknownTagTime {
 		return Verdict{Reason: UnknownTag}
 	}
 	return t.resetEstablished(now, s, UnknownTag)
@@ -155,8 +166,8 @@
 	return Verdict{Action: Reset, Reason: reason}
 }
 
-// resetEstablished is resetIfCurrent for a packet of an established flow. A reset is never answered
-// by a reset.
+// resetEstablished is resetIfCurrent for a packet of a flow that may be established. It also drops packets of flows
+// that may rest on newer routes or upstreams than those known here. A reset is never answered by a reset.
 func (t *Tagger) resetEstablished(now time.Duration, s rattanwood.Segment, reason Reason) Verdict {
 	if s.Flags.Has(rattanwood.FlagReset) {
 		return Verdict{Reason: reason}
@@ -166,5 +177,8 @@
 		// so no further check of the replica's age is needed.
 		return Verdict{Action: Reset, Reason: reason}
 	}
+	if t.mayPostdate(now, s) && t.isCurrent(now) {
+		return Verdict{Reason: reason}
+	}
 	return t.resetIfCurrent(now, reason)
 }
--- /dev/null
+++ b/tagger/postdate_test.go
@@ -0,0 +1,113 @@
+package tagger_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/tagger"
+)
+
+// TestFlowsYoungerThanReplicaAreNotReset guards against resets of open flows by a balancer that hasn't heard yet of the
+// route or the upstream that the flow was placed by: a confirmation from before the flow says nothing about them.
+func TestFlowsYoungerThanReplicaAreNotReset(t *testing.T) {
+	const tag = 7
+	removeUpstream := func(f *fixture) {
+		f.RemoveRegistration(f.now, instance(1))
+		r := registration(6)
+		r.Address = registration(1).Address
+		f.SetRegistration(f.now, r)
+	}
+	tests := map[string]struct {
+		// prepare brings the lagging balancer to a state from which the source then moves on.
+		prepare func(f *fixture)
+		// learn brings it up to date.
+		learn func(f *fixture)
+		tag   rattanwood.UpstreamID
+		// reason is that of the reset, if the balancer finds that it knows all there is.
+		reason tagger.Reason
+	}{
+		"route that was just added": {
+			prepare: func(f *fixture) { f.SetRouting(routing(2, board)) },
+			learn:   func(f *fixture) { f.SetRouting(routing(3)) },
+			tag:     1, reason: tagger.NoRoute,
+		},
+		"route that strays asked for before it was added": {
+			prepare: func(f *fixture) {
+				f.SetRouting(routing(2, board))
+				for range 40 {
+					f.sendTagged(2, board, 1, 1)
+					f.now += 100 * time.Millisecond
+				}
+				f.Confirm(f.now)
+			},
+			learn: func(f *fixture) { f.SetRouting(routing(3)) },
+			tag:   1, reason: tagger.NoRoute,
+		},
+		"upstream whose tag was unknown before": {
+			prepare: func(f *fixture) {
+				for range 40 {
+					f.sendTagged(2, board, tag, 1)
+					f.now += 100 * time.Millisecond
+				}
+				f.Confirm(f.now)
+			},
+			learn: func(f *fixture) { f.register(tag, false) },
+			tag:   tag, reason: tagger.UnknownTag,
+		},
+		"upstream that registered again at another address": {
+			prepare: func(f *fixture) {
+				removeUpstream(f)
+				f.now += 3 * time.Second
+				f.Confirm(f.now)
+			},
+			learn: func(f *fixture) {
+				r := registration(1)
+				r.Address, r.StartTime = registration(9).Address, 2
+				f.SetRegistration(f.now, r)
+			},
+			tag: 1, reason: tagger.UpstreamDead,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture()
+			test.prepare(f)
+			for range 9 {
+				got := f.sendTagged(1, board, test.tag, 1)
+				c.Assert(got.Action, qt.Not(qt.Equals), tagger.Reset, qt.Commentf("%s after %v", got.Reason, f.now))
+				f.now += 100 * time.Millisecond
+				// Confirmations that have been under way since before the flow began.
+				f.Confirm(f.now)
+			}
+			test.learn(f)
+			c.Assert(f.sendTagged(1, board, test.tag, 1).Action, qt.Equals, tagger.Forward)
+
+			f = newFixture()
+			test.prepare(f)
+			f.sendTagged(1, board, test.tag, 1)
+			f.now += 3 * time.Second
+			f.Confirm(f.now)
+			got := f.sendTagged(1, board, test.tag, 1)
+			c.Assert(got, qt.Equals, tagger.Verdict{Action: tagger.Reset, Reason: test.reason}, qt.Commentf("a flow that can't go on isn't reset"))
+		})
+	}
+}
+
+// TestHandedCopiesWithoutRouteAreNotRefused hands over copies of first packets whose route isn't known here yet: the
+// balancer that knows it may have placed the flow.
+func TestHandedCopiesWithoutRouteAreNotRefused(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture()
+	for copies, want := range []tagger.Action{tagger.Reset, tagger.Drop} {
+		s := segment(1+copies, unrouted)
+		s.Flags, s.Ack = rattanwood.FlagOpen, uint32(copies)
+		v, _ := f.HandedPacket(f.now, s, []byte("first"), 1)
+		c.Assert(v.Action, qt.Equals, want)
+		v, _ = f.RequestedPacket(f.now, "peer", s, []byte("first"), tagger.Request{Service: "board"})
+		c.Assert(v.Action, qt.Equals, want)
+	}
+}
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -28,6 +29,8 @@
 	// forwarded again, or perhaps elsewhere before.
 	placedAt      time.Duration
 	retransmitted bool
+	// firstSeen is when the flow's first packet arrived here.
+	firstSeen time.Duration
 	// skippedCopy is set if a copy of the first packet didn't arrive here, but a later one did.
 	skippedCopy bool
 	// lastSeen is the time of the newest packet.
@@ -61,7 +64,7 @@
 	key := keyOf(s)
 	earlier := t.recentFlows[key]
 	t.recentFlows[key] = &recentFlow{
-		upstream: id, opening: true, opened: true, segment: s, packet: bytes.Clone(packet), placedAt: now, lastSeen: now,
+		upstream: id, opening: true, opened: true, segment: s, packet: bytes.Clone(packet), placedAt: now, firstSeen: now, lastSeen: now,
 		retransmitted: s.Ack > 0 || earlier != nil && earlier.opening,
 	}
 }
@@ -108,7 +111,7 @@
 		if len(t.recentFlows) >= t.cfg.MaxRecentFlows {
 			return
 		}
-		r = &recentFlow{upstream: s.Tag, segment: rattanwood.Segment{Caller: s.Caller, Target: s.Target, Flags: s.Flags}}
+		r = &recentFlow{upstream: s.Tag, firstSeen: now, segment: rattanwood.Segment{Caller: s.Caller, Target: s.Target, Flags: s.Flags}}
 		t.recentFlows[key] = r
 	}
 	if r.opening {
@@ -134,6 +137,33 @@
 	}
 }
 
+// sighting holds when packets of a flow arrived here.
+type sighting struct{ first, last time.Duration }
+
+// mayPostdate reports whether a flow may rest on routes or upstreams that aren't known here yet: another balancer
+// has placed it, and the replica hasn't been confirmed since the flow was first seen here.
+func (t *Tagger) mayPostdate(now time.Duration, s rattanwood.Segment) bool {
+	key := keyOf(s)
+	var first time.Duration
+	if r := t.recentFlows[key]; r != nil {
+		if r.opened && r.upstream == s.Tag {
+			return false
+		}
+		first = r.firstSeen
+	} else {
+		f, known := t.undecided[key]
+		if !known {
+			f.first = now
+		}
+		f.last = now
+		if known || len(t.undecided) < t.cfg.MaxRecentFlows {
+			t.undecided[key] = f
+		}
+		first = f.first
+	}
+	return !t.everConfirmed || t.confirmedAt < first+t.cfg.MaxConfirmationDelay
+}
+
 // firstPacketIntervals are the times after which a Caller repeats a first packet, and the copy of it, that isn't
 // answered.
 var firstPacketIntervals = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond}
@@ -206,6 +236,7 @@
 			delete(t.answeredPlacedAt, network)
 		}
 	}
+	maps.DeleteFunc(t.undecided, func(_ flowKey, f sighting) bool { return now-f.last > t.cfg.FlowRetentionTime })
 	for key, r := range t.recentFlows {
 		if now-r.lastSeen > t.cfg.FlowRetentionTime {
 			t.countRequests(key, r)
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -125,6 +125,9 @@
 	// flows to be reset because of a missing route or an unknown tag. With an older replica such
 	// packets are dropped, since the route or the upstream may be new.
 	MaxConfirmationAge time.Duration
+	// MaxConfirmationDelay bounds the time that a confirmation takes from the source to this balancer, which its age
+	// doesn't include.
+	MaxConfirmationDelay time.Duration
 	// ReregistrationTime is how long an upstream that disappeared from the source may take to
 	// register again.
 	ReregistrationTime time.Duration
@@ -139,7 +142,7 @@
 	PauseThreshold, ResumeTime time.Duration
 	// FlowRetentionTime is how long a flow is remembered after its last packet.
 	FlowRetentionTime time.Duration
-	// MaxRecentFlows bounds the number of remembered flows, and the number of unknown tags.
+	// MaxRecentFlows bounds the number of remembered flows, of undecided flows, and of unknown tags.
 	MaxRecentFlows int
 	Random         *rand.Rand
 	Placer         *placer.Placer
@@ -162,6 +165,8 @@
 func DefaultConfig() Config {
 	return Config{
 		MaxConfirmationAge: 2 * time.Second,
+		// The difference between UnknownTagTime and MaxConfirmationAge.
+		MaxConfirmationDelay: time.Second,
 		// Upstreams register again within about two seconds after the source is back.
 		ReregistrationTime: 2500 * time.Millisecond,
 		UnknownTagTime:     3 * time.Second,
@@ -240,7 +245,9 @@
 	// failures are the failed requests that CollectFailures hasn't returned yet.
 	failures []Failure
 	// unknownTags holds for each tag of no known upstream when it was first seen.
-	unknownTags   map[rattanwood.UpstreamID]time.Duration
+	unknownTags map[rattanwood.UpstreamID]time.Duration
+	// undecided holds the flows that may be younger than what is known here.
+	undecided     map[flowKey]sighting
 	confirmedAt   time.Duration
 	everConfirmed bool
 	// lastTick is the time of the last Tick, and resumedAt the end of the last pause.
@@ -283,6 +290,7 @@
 		pendingRequests: map[flowKey]*recentFlow{},
 		averages:        map[netip.AddrPort]*routeAverages{},
 		unknownTags:     map[rattanwood.UpstreamID]time.Duration{},
+		undecided:       map[flowKey]sighting{},
 
 		answeredPlacedAt: map[netip.Prefix]time.Duration{},
 		admissions:       map[AdmissionOutcome]uint64{},
--- a/tagger/tagger_test.go
+++ b/tagger/tagger_test.go
@@ -159,10 +159,28 @@
 			current: reset(tagger.NoRoute), outdated: drop(tagger.Stale),
 		},
 		"route that was deleted": {
-			prepare: func(f *fixture) { f.SetRouting(routing(2, board)) },
+			prepare: func(f *fixture) {
+				f.sendTagged(1, board, 1, 1)
+				f.now += time.Second
+				f.Confirm(f.now)
+				f.SetRouting(routing(2, board))
+			},
 			send:    func(f *fixture) verdict { return f.sendTagged(1, board, 1, 1) },
 			current: reset(tagger.NoRoute), outdated: drop(tagger.Stale),
 		},
+		"route that was deleted before the flow was seen": {
+			prepare: func(f *fixture) { f.SetRouting(routing(2, board)) },
+			send:    func(f *fixture) verdict { return f.sendTagged(1, board, 1, 1) },
+			current: drop(tagger.NoRoute), outdated: drop(tagger.Stale),
+		},
+		"copy of a first packet, without a route": {
+			send: func(f *fixture) verdict {
+				s := segment(1, unrouted)
+				s.Flags, s.Ack = rattanwood.FlagOpen, 1
+				return f.Packet(f.now, s, []byte("first"))
+			},
+			current: drop(tagger.NoRoute), outdated: drop(tagger.Stale),
+		},
 		"routes of an older version": {
 			prepare: func(f *fixture) { f.SetRouting(routing(2)); f.SetRouting(routing(1, maps)) },
 			send: func(f *fixture) verdict {
@@ -272,6 +290,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			f := newFixture()
+			f.sendTagged(1, board, 1, 1)
 			test.prepare(f)
 			f.now += test.after
 			f.Confirm(f.now)
