replicator: pass on changes that a listing brought ahead of its position

What callers saw: new flows reached a draining upstream up to 12 s after the store had acknowledged it, by way of balancers that nobody had touched, and a new upstream got none there (review/1). Cause: a listing counts as of its first page. A record that was written before a later page was known then, so that the watch that followed brought nothing new, and it wasn't among the changes that heartbeats carry from the one position to the next. Peers took these for complete. Ruled out: lost datagrams (a gap between positions leads to a fetch), an answer of the store without the change (the watch after 209 had 2 events). Evidence: three balancers logged the revisions 212 and 213 and neither 210 nor 211, which the reader had from the second page. Change: what a replica knows beyond its position stays among the changes to pass on until its position has reached it, whichever way it came: a listing, the records of a peer, or changes of a peer. Why it works: a peer that moves from one position to the next now gets each record of the positions between, and at most some that are newer. Tests: TestChangesBetweenPagesArePassedOn failed in its six cases before. TestPagedListingsLoseNoChange failed after 1,455 tries of the model before, and not in 30,000 now.

--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -30,7 +30,8 @@
 	historyStart rattanwood.Position
 	// takenPosition is the position up to which TakeChanges has returned the changes.
 	takenPosition rattanwood.Position
-	// untaken are the changes since then.
+	// untaken are the changes since then. Those after position, which came with a later page of a listing, stay until
+	// position has reached them, since peers at position need them as well.
 	untaken []rattanwood.Record
 }
 
@@ -82,6 +83,12 @@
 	// Records that were added and deleted again since the replica's last position aren't known, so
 	// there is no difference to send: peers that lag have to fetch all records.
 	r.takenPosition, r.untaken = at, nil
+	for _, rec := range r.records {
+		if rec.Position > at {
+			r.untaken = append(r.untaken, rec)
+		}
+	}
+	sortByKey(r.untaken)
 	return changed
 }
 
@@ -89,7 +96,7 @@
 // the position of this one.
 func (r *Replicator) TakeChanges() (prior rattanwood.Position, records []rattanwood.Record) {
 	prior, records = r.takenPosition, r.untaken
-	r.takenPosition, r.untaken = r.position, nil
+	r.takenPosition, r.untaken = r.position, r.newerThanReplica(records)
 	return prior, records
 }
 
