--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -183,6 +183,8 @@
 	resets chan []byte
 	// admission is whether nodes that are started from now on have it turned on.
 	admission bool
+	// source is read by nodes that are started from now on, instead of src.
+	source rattanwood.Source
 	// keyFiles are the key files of nodes that are started from now on; nodes without one have no keys.
 	keyFiles map[int]string
 	// lastPause is the Unix time in nanoseconds at which a pause of this process was last noticed.
@@ -238,6 +240,7 @@
 // newStoppedFleet returns a fleet whose nodes haven't been started.
 func newStoppedFleet(c *qt.C) *fleet {
 	f := &fleet{c: c, src: &fakeSource{}, ports: settings.Ports{Peer: freePort(c), Tunnel: freePort(c), Web: freePort(c)}}
+	f.source = f.src
 	ctx, stop := context.WithCancel(context.Background())
 	c.Cleanup(stop)
 	go f.watchForPauses(ctx)
@@ -280,7 +283,7 @@
 	f.c.Assert(err, qt.IsNil)
 	n, err := node.New(node.Config{
 		Settings: set, SettingsFile: file, Incarnation: rattanwood.Incarnation(time.Now().UnixNano()), Log: log,
-		Source: f.src, Interpreter: platform.Interpreter{}, Codec: platform.Codec{Port: uint16(f.ports.Tunnel)}, IdentityChecker: platform.IdentityChecker{},
+		Source: f.source, Interpreter: platform.Interpreter{}, Codec: platform.Codec{Port: uint16(f.ports.Tunnel)}, IdentityChecker: platform.IdentityChecker{},
 	})
 	f.c.Assert(err, qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
