prober: confirm a proof of death before it resets flows that came later

Cause: the proof of death was reached during the cut and lasted until the next check, 3 or 9 s later. It reset any flow, whenever that had come. Ruled out: a wrong verdict during the cut (the upstream couldn't be reached), shorter intervals of checks (cost worth, docs/decisions/checks.md). Change: a proof counts for a flow only if its check began after the flow came, or came back after a pause of 2 s. Else the packet is forwarded and a check is requested; if that fails, the flows that came before it are reset, if it passes, the upstream is in use again at once. Why it works: no flow is reset without a failed check made while it was here.

--- a/internal/node/checks.go
+++ b/internal/node/checks.go
@@ -74,6 +74,8 @@
 	}
 	if v.Dead {
 		n.messenger.Members.TriggerHeartbeats()
+	}
+	if v.Dead || v.Confirmed {
 		outgoing = append(outgoing, n.tagger.ResetFlows(id)...)
 	}
 	age, _ := n.watcher.Age(now)
@@ -81,7 +83,7 @@
 	due := n.prober.StartDueChecks(now, n.assignment)
 	n.mu.Unlock()
 	n.startChecks(ctx, now, due)
-	if v != (prober.StateChange{}) {
+	if v.Avoid || v.Dead || v.Recovered {
 		n.log.Info("upstream health changed", zap.Stringer(logger.KeyUpstream, id), zap.Stringer(logger.KeyOutcome, outcome),
 			zap.Bool("avoid", v.Avoid), zap.Bool("dead", v.Dead), zap.Bool("well", v.Recovered), zap.Int64(logger.KeyAge, (now-began).Milliseconds()))
 	}
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -1,6 +1,7 @@
 package prober_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -28,6 +29,8 @@
 	causes [prober.CauseCount]int
 	// avoidedAt and deadAt hold when each upstream first entered that state.
 	avoidedAt, deadAt map[rattanwood.UpstreamID]time.Duration
+	// confirmedAt holds when an upstream was last found to be dead still.
+	confirmedAt map[rattanwood.UpstreamID]time.Duration
 }
 
 type check struct {
@@ -40,6 +43,7 @@
 		p: prober.New(prober.DefaultConfig()), n: n, inProgress: map[rattanwood.UpstreamID]check{}, assignment: prober.AssignedLocal,
 		checkOutcome: func(time.Duration, prober.Check) prober.Outcome { return prober.Passed },
 		avoidedAt:    map[rattanwood.UpstreamID]time.Duration{}, deadAt: map[rattanwood.UpstreamID]time.Duration{},
+		confirmedAt: map[rattanwood.UpstreamID]time.Duration{},
 	}
 	for i := range n {
 		s.p.Add(0, rattanwood.UpstreamID(i+1))
@@ -89,6 +93,9 @@
 	if _, ok := s.deadAt[id]; v.Dead && !ok {
 		s.deadAt[id] = s.now
 	}
+	if v.Confirmed {
+		s.confirmedAt[id] = s.now
+	}
 }
 
 // TestTimeToDetect covers upstreams that become unreachable or whose process ends, with and without
@@ -297,6 +304,36 @@
 	c.Assert(s.p.IsDead(1), qt.IsFalse)
 }
 
+// TestOldProofIsConfirmed guards against resets of flows by a proof from a fault that has ended: before a flow that came
+// later is reset, another check must fail, also if checks time out.
+func TestOldProofIsConfirmed(t *testing.T) {
+	for name, outcome := range map[string]prober.Outcome{"refused": prober.Refused, "timed out": prober.TimedOut} {
+		for _, ended := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, ended: %v", name, ended), func(t *testing.T) {
+				const came = 4500 * time.Millisecond
+				c := qt.New(t)
+				s := newSimulation(14)
+				s.assignment = prober.AssignedRemote
+				s.checkOutcome = func(now time.Duration, due prober.Check) prober.Outcome {
+					if due.Upstream == 3 && (now < 2*time.Second || !ended) {
+						return outcome
+					}
+					return prober.Passed
+				}
+				s.p.ReportSuspicion(3)
+				s.run(came)
+				c.Assert(s.p.IsDead(3), qt.IsTrue)
+				c.Assert(s.p.IsDeadSince(3, came), qt.IsFalse)
+				s.p.ConfirmDead(3)
+				s.run(came + prober.DefaultConfig().SuspicionInterval + timeout + 2*step)
+				c.Assert(s.p.IsDead(3), qt.Equals, !ended)
+				c.Assert(s.p.IsDeadSince(3, came), qt.Equals, !ended)
+				c.Assert(s.confirmedAt[3] > came, qt.Equals, !ended)
+			})
+		}
+	}
+}
+
 // TestFirstSuspicionIsDecided has packets to a dead upstream retransmitted right after a start, before any
 // regular check.
 func TestFirstSuspicionIsDecided(t *testing.T) {
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -122,6 +122,7 @@
 	if u == nil {
 		return t.handleUnknownTag(now, s)
 	}
+	dead := t.isProvedDead(now, s)
 	t.observePacket(now, s)
 	if !u.registered {
 		// The host may still run: while it drains, or when only its registration's lease has
@@ -131,7 +132,7 @@
 			return t.resetEstablished(now, s, UpstreamDead)
 		}
 	}
-	if t.cfg.Prober.IsDead(u.id) {
+	if dead {
 		return t.resetEstablished(now, s, UpstreamDead)
 	}
 	return forward(now, u, Tagged)
--- a/tagger/postdate_test.go
+++ b/tagger/postdate_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"example.org/rattanwood"
+	"example.org/rattanwood/prober"
 	"example.org/rattanwood/tagger"
 )
 
@@ -97,6 +98,27 @@
 	}
 }
 
+// TestProofOfDeathBeforeFlowCameBack has a flow leave for another balancer and come back after an upstream was found dead
+// by what a peer reported, which resets no flow at once.
+func TestProofOfDeathBeforeFlowCameBack(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture()
+	v := f.sendFirst(1, board)
+	id := v.Instance.Upstream()
+	f.sendTagged(1, board, id, 1)
+	f.now += 5 * time.Second
+	f.prober.RecordResult(6, f.now, prober.Passed)
+	f.prober.RecordResult(id, f.now, prober.TimedOut)
+	f.prober.RecordResult(id, f.now, prober.TimedOut)
+	f.prober.AddPeerReport(f.now, id, prober.PeerReport{SameDataCentre: true, Dead: true})
+	c.Assert(f.prober.IsDead(id), qt.IsTrue)
+	f.now += 4 * time.Second
+	for seq := range uint32(3) {
+		c.Assert(f.sendTagged(1, board, id, 2+seq).Action, qt.Equals, tagger.Forward)
+		f.now += 200 * time.Millisecond
+	}
+}
+
 // TestHandedCopiesWithoutRouteAreNotRefused hands over copies of first packets whose route isn't known here yet: the
 // balancer that knows it may have placed the flow.
 func TestHandedCopiesWithoutRouteAreNotRefused(t *testing.T) {
@@ -111,3 +133,36 @@
 		c.Assert(v.Action, qt.Equals, want)
 	}
 }
+
+// TestFlowsYoungerThanProofOfDeath guards against resets of flows that came here after an upstream was found dead, as by
+// a cut that has ended: they go on until another check fails.
+func TestFlowsYoungerThanProofOfDeath(t *testing.T) {
+	for name, alive := range map[string]bool{"the upstream lives": true, "the upstream is dead": false} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture()
+			f.sendTagged(1, board, 2, 1)
+			f.failChecks(2, prober.Refused)
+			c.Assert(f.ResetFlows(2), qt.HasLen, 1, qt.Commentf("a flow that was here before"))
+
+			f.now += 5 * time.Second
+			f.Confirm(f.now)
+			c.Assert(f.sendTagged(2, board, 2, 1).Action, qt.Equals, tagger.Forward)
+			due := f.prober.StartDueChecks(f.now, func(rattanwood.UpstreamID) prober.Assignment { return prober.AssignedElsewhere })
+			c.Assert(due, qt.Any(qt.Equals), prober.Check{Upstream: 2, Identify: true, Cause: prober.Suspected})
+			began := f.now
+			f.now += time.Millisecond
+			c.Assert(f.sendTagged(3, board, 2, 1).Action, qt.Equals, tagger.Forward)
+			if alive {
+				c.Assert(f.prober.RecordResult(2, began, prober.Passed).Recovered, qt.IsTrue)
+				c.Assert(f.sendTagged(2, board, 2, 2).Action, qt.Equals, tagger.Forward)
+				return
+			}
+			c.Assert(f.prober.RecordResult(2, began, prober.Refused).Confirmed, qt.IsTrue)
+			resets := f.ResetFlows(2)
+			c.Assert(resets, qt.HasLen, 1, qt.Commentf("only the flow that came before the check began"))
+			c.Assert(resets[0].Segment.Caller.Port(), qt.Equals, uint16(2))
+			c.Assert(f.sendTagged(3, board, 2, 1).Action, qt.Equals, tagger.Forward)
+		})
+	}
+}
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -29,8 +29,9 @@
 	// forwarded again, or perhaps elsewhere before.
 	placedAt      time.Duration
 	retransmitted bool
-	// firstSeen is when the flow's first packet arrived here.
-	firstSeen time.Duration
+	// firstSeen is when the flow's first packet arrived here, and arrived when the first one after the last pause of more
+	// than maxFlowPause did.
+	firstSeen, arrived time.Duration
 	// skippedCopy is set if a copy of the first packet didn't arrive here, but a later one did.
 	skippedCopy bool
 	// lastSeen is the time of the newest packet.
@@ -64,7 +65,7 @@
 	key := keyOf(s)
 	earlier := t.recentFlows[key]
 	t.recentFlows[key] = &recentFlow{
-		upstream: id, opening: true, opened: true, segment: s, packet: bytes.Clone(packet), placedAt: now, firstSeen: now, lastSeen: now,
+		upstream: id, opening: true, opened: true, segment: s, packet: bytes.Clone(packet), placedAt: now, firstSeen: now, arrived: now, lastSeen: now,
 		retransmitted: s.Ack > 0 || earlier != nil && earlier.opening,
 	}
 }
@@ -111,7 +112,7 @@
 		if len(t.recentFlows) >= t.cfg.MaxRecentFlows {
 			return
 		}
-		r = &recentFlow{upstream: s.Tag, firstSeen: now, segment: rattanwood.Segment{Caller: s.Caller, Target: s.Target, Flags: s.Flags}}
+		r = &recentFlow{upstream: s.Tag, firstSeen: now, arrived: now, lastSeen: now, segment: rattanwood.Segment{Caller: s.Caller, Target: s.Target, Flags: s.Flags}}
 		t.recentFlows[key] = r
 	}
 	if r.opening {
@@ -120,6 +121,9 @@
 		}
 		t.recordAnswered(now, r)
 	}
+	if now-r.lastSeen > maxFlowPause {
+		r.arrived = now
+	}
 	t.trackRequest(now, key, r, s)
 	r.opening, r.packet, r.lastSeen, r.segment.Ack = false, nil, now, s.Ack
 	switch {
@@ -140,27 +144,54 @@
 // sighting holds when packets of a flow arrived here.
 type sighting struct{ first, last time.Duration }
 
-// mayPostdate reports whether a flow may rest on routes or upstreams that aren't known here yet: another balancer
-// has placed it, and the replica hasn't been confirmed since the flow was first seen here.
-func (t *Tagger) mayPostdate(now time.Duration, s rattanwood.Segment) bool {
+// firstSeen returns when the first packet of a flow arrived here, and records this one if the flow isn't remembered.
+func (t *Tagger) firstSeen(now time.Duration, s rattanwood.Segment) time.Duration {
 	key := keyOf(s)
-	var first time.Duration
 	if r := t.recentFlows[key]; r != nil {
-		if r.opened && r.upstream == s.Tag {
-			return false
-		}
-		first = r.firstSeen
-	} else {
-		f, known := t.undecided[key]
-		if !known {
-			f.first = now
-		}
-		f.last = now
-		if known || len(t.undecided) < t.cfg.MaxRecentFlows {
-			t.undecided[key] = f
+		return r.firstSeen
+	}
+	f, known := t.undecided[key]
+	if !known {
+		f.first = now
+	}
+	f.last = now
+	if known || len(t.undecided) < t.cfg.MaxRecentFlows {
+		t.undecided[key] = f
+	}
+	return f.first
+}
+
+// maxFlowPause is the time without a packet after which a flow may have been at other balancers meanwhile. Its Caller
+// retransmits every 1.6 s at least.
+const maxFlowPause = 2 * time.Second
+
+// isProvedDead reports whether the upstream of a flow was found dead since the flow came here. If the proof is older, it
+// may come from a fault that has ended, and another check is requested.
+func (t *Tagger) isProvedDead(now time.Duration, s rattanwood.Segment) bool {
+	if !t.cfg.Prober.IsDead(s.Tag) {
+		return false
+	}
+	arrived := t.firstSeen(now, s)
+	if r := t.recentFlows[keyOf(s)]; r != nil {
+		arrived = r.arrived
+		if now-r.lastSeen > maxFlowPause {
+			arrived = now
 		}
-		first = f.first
 	}
+	if t.cfg.Prober.IsDeadSince(s.Tag, arrived) {
+		return true
+	}
+	t.cfg.Prober.ConfirmDead(s.Tag)
+	return false
+}
+
+// mayPostdate reports whether a flow may rest on routes or upstreams that aren't known here yet: another balancer
+// has placed it, and the replica hasn't been confirmed since the flow was first seen here.
+func (t *Tagger) mayPostdate(now time.Duration, s rattanwood.Segment) bool {
+	if r := t.recentFlows[keyOf(s)]; r != nil && r.opened && r.upstream == s.Tag {
+		return false
+	}
+	first := t.firstSeen(now, s)
 	return !t.everConfirmed || t.confirmedAt < first+t.cfg.MaxConfirmationDelay
 }
 
@@ -210,13 +241,18 @@
 }
 
 // ResetFlows returns resets for the established flows of a dead upstream. A Caller that waits for a
-// response can then retry in time, and an idle one opens another flow before its next request.
+// response can then retry in time, and an idle one opens another flow before its next request. Flows that came here
+// after the check that proved the upstream dead began wait for the next one.
 func (t *Tagger) ResetFlows(id rattanwood.UpstreamID) []OutgoingPacket {
 	var out []OutgoingPacket
 	for key, r := range t.recentFlows {
 		if r.upstream != id || r.opening {
 			continue
 		}
+		if !t.cfg.Prober.IsDeadSince(id, r.arrived) {
+			t.cfg.Prober.ConfirmDead(id)
+			continue
+		}
 		t.counts[Reset][UpstreamDead]++
 		out = append(out, OutgoingPacket{Verdict: Verdict{Action: Reset, Reason: UpstreamDead}, Segment: r.segment})
 		delete(t.recentFlows, key)
