--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -36,7 +36,9 @@
 	era         rattanwood.Era
 	down        bool
 	historyLost bool
-	calls       int
+	// unreadable makes watches fail that have changes, as if their answers couldn't be read.
+	unreadable bool
+	calls      int
 	// listingBlocked makes listings of all records hang.
 	listingBlocked atomic.Bool
 }
@@ -118,8 +120,11 @@
 		s.mu.Lock()
 		err := s.call()
 		log, lost, position, known := s.log, s.historyLost, s.position(), int(after.Revision())
+		unreadable := s.unreadable
 		s.mu.Unlock()
 		switch {
+		case unreadable && known < len(log):
+			return rattanwood.Changes{}, &rattanwood.SourceError{Call: "test", Reason: "too_large", Recurs: true, Cause: io.ErrShortBuffer}
 		case err != nil:
 			return rattanwood.Changes{}, err
 		case lost && known < len(log), known > len(log):
--- a/internal/node/records_test.go
+++ b/internal/node/records_test.go
@@ -110,3 +110,19 @@
 		c.Assert(f.ended[i], qt.HasLen, 0)
 	}
 }
+
+// TestUnreadableChangesAreListed guards against a reader that repeats a watch whose answer it can't read, while no
+// balancer learns of any change.
+func TestUnreadableChangesAreListed(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c)
+	f.src.mu.Lock()
+	f.src.unreadable = true
+	f.src.mu.Unlock()
+	f.src.write("op/config", fmt.Sprintf(routingJSON, 4))
+	written := time.Now()
+	for i := range 3 {
+		f.eventually("new version", func() bool { return f.state(i).Version == 4 })
+	}
+	c.Assert(time.Since(written) < 3*time.Second, qt.IsTrue, qt.Commentf("in force after %v", time.Since(written)))
+}
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -178,6 +178,13 @@
 		n.readAll(ctx)
 		return
 	}
+	var failed *rattanwood.SourceError
+	if errors.As(err, &failed) && failed.Recurs && ctx.Err() == nil {
+		n.counters.sourceErrors.Add(1)
+		n.log.Warn("changes can't be read, listing all records again", zap.Inline(logger.Position(prior)), zap.String(logger.KeyError, err.Error()))
+		n.readAll(ctx)
+		return
+	}
 	if err != nil {
 		n.handleReadError(ctx, err)
 		return
--- a/source.go
+++ b/source.go
@@ -72,7 +72,8 @@
 	// ListUpstreams is like List, but returns only the records of upstreams. They are a small part of all
 	// records and may be seconds old. They suffice to forward packets of established flows.
 	ListUpstreams(ctx context.Context, after string) (Page, error)
-	// Watch blocks until there are changes after a position and returns them. After wait it returns none.
+	// Watch blocks until there are changes after a position and returns the last one of each key. After wait it
+	// returns none.
 	Watch(ctx context.Context, after Position, wait time.Duration) (Changes, error)
 }
 
@@ -237,6 +238,9 @@
 	Call string
 	// Reason is one of a fixed set of words, so that it can also be a metric label.
 	Reason string
+	// Recurs is set if the Source answered, but not in a way or a time that can be used, so that the same call would
+	// probably fail again.
+	Recurs bool
 	Cause  error
 }
 
