dialer: receive replies of up to 64 MB

Cause: replies of other balancers were limited to 4 MB by the RPC library's default. A fetch of all records that is larger fails, and is repeated for ever; a few large records that don't shrink suffice. No deployment has met it. Change: the limit is 64 MB, twice what all records of the largest fleet may take when decompressed. Test: TestLargeRepliesArrive with 12 MB failed before.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -12,11 +12,16 @@
 	"github.com/samber/oops"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcwire"
 )
 
 // maxIdleConns is the number of idle connections that are kept to one balancer.
 const maxIdleConns = 4
 
+// maxReplySize is the largest reply in bytes: all records of the largest fleet, and some large ones.
+const maxReplySize = 64 << 20
+
 // idleTimeout is how long an idle connection is kept.
 const idleTimeout = 30 * time.Second
 
@@ -113,7 +118,9 @@
 	if err != nil {
 		return pooledConn{}, oops.Code("peer_dial").With("peer", address.String()).Wrap(err)
 	}
-	return pooledConn{Conn: drpcconn.New(raw)}, nil
+	return pooledConn{Conn: drpcconn.NewWithOptions(raw, drpcconn.Options{
+		Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxReplySize}},
+	})}, nil
 }
 
 // Redials returns the number of connections that were closed after a failed call.
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -26,6 +26,37 @@
 	return &wire.FetchReply{Version: 7}, nil
 }
 
+// copyPeer replies with records of a size.
+type copyPeer struct {
+	wire.DRPCCopyUnimplementedServer
+	size int
+}
+
+func (p *copyPeer) Sync(context.Context, *wire.SyncRequest) (*wire.SyncReply, error) {
+	return &wire.SyncReply{Packed: make([]byte, p.size)}, nil
+}
+
+// TestLargeRepliesArrive guards against a fetch of all records that fails for ever because some of them are large.
+func TestLargeRepliesArrive(t *testing.T) {
+	const size = 12 << 20
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	mux := drpcmux.New()
+	c.Assert(wire.DRPCRegisterCopy(mux, &copyPeer{size: size}), qt.IsNil)
+	go func() { _ = drpcserver.New(mux).Serve(ctx, lis) }()
+	d := dialer.New()
+	t.Cleanup(d.Close)
+	var reply *wire.SyncReply
+	c.Assert(d.Call(ctx, netip.MustParseAddrPort(lis.Addr().String()), func(ctx context.Context, conn drpc.Conn) (err error) {
+		reply, err = wire.NewDRPCCopyClient(conn).Sync(ctx, &wire.SyncRequest{})
+		return err
+	}), qt.IsNil)
+	c.Assert(reply.GetPacked(), qt.HasLen, size)
+}
+
 // proxy forwards connections to a server. Once silenced is set, the existing connections stay open but lose
 // all bytes, as when a middlebox between the two ends has dropped its state. A new connection works again.
 type proxy struct {
