prober: check the most overdue upstreams first

What could happen: a balancer with more upstreams due than its budget allows never checked the higher ids, so that their deaths weren't found by checks. Cause: checks were begun in the order of the ids, from the lowest each time. Change: if the budget doesn't suffice, repeated checks come first, which are few for each upstream that fails, and then those that have waited for the most of their periods. A gauge tells the longest wait beyond the budget. Tried: a period of 0.1 s for repeated checks instead of a rank of their own. TestLiveUpstreamsAreNotDeclaredDead failed with that, since they waited.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -37,6 +37,7 @@
 	descAdmissions = prometheus.NewDesc("rattanwood_admissions_total", "Decisions on new flows by level of importance, 0 first.", []string{"outcome", "reason", "level"}, nil)
 	descMembers    = prometheus.NewDesc("rattanwood_members", "Other balancers by state.", []string{"state"}, nil)
 	descFailing    = prometheus.NewDesc("rattanwood_upstreams_failing", "Upstreams that fail the checks.", nil, nil)
+	descOverdue    = prometheus.NewDesc("rattanwood_check_overdue_seconds", "Time since the last check of the upstream that has waited longest beyond the budget of checks.", nil, nil)
 	descEvacuated  = prometheus.NewDesc("rattanwood_evacuated", "Data centres whose upstreams get no new flows.", []string{"centre"}, nil)
 	descLogDropped = prometheus.NewDesc("rattanwood_log_lines_dropped_total", "Log lines that found no room.", nil, nil)
 )
@@ -129,6 +130,7 @@
 	}
 	failing, _ := n.prober.Failing()
 	gauge(descFailing, float64(len(failing)))
+	gauge(descOverdue, n.prober.LongestOverdue().Seconds())
 	states := map[string]int{}
 	for _, m := range n.messenger.Members.Members() {
 		states[m.State.String()]++
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -5,6 +5,8 @@
 package prober
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -195,6 +197,8 @@
 	latestPassed time.Duration
 	// latestReference is when the latest reference check began.
 	latestReference time.Duration
+	// longestOverdue is what LongestOverdue returns.
+	longestOverdue time.Duration
 }
 
 // New returns a Prober without upstreams.
@@ -292,28 +296,54 @@
 	Cause    Cause
 }
 
-// StartDueChecks returns the checks to begin now. Each of them must be followed by a RecordResult, and
-// by a StartReference if it is still running after ReferenceDelay.
+// dueCheck is a check that is due, and by how many times its period.
+type dueCheck struct {
+	id      rattanwood.UpstreamID
+	state   *upstreamState
+	cause   Cause
+	overdue float64
+}
+
+// StartDueChecks returns the checks to begin now. If the budget doesn't suffice for all that are due, repeated ones come
+// first, of which there are few for each upstream that fails, and then those that have waited for the most of their
+// periods, so that each gets its turn. Each check must be followed by a RecordResult, and by a StartReference if it is
+// still running after ReferenceDelay.
 func (p *Prober) StartDueChecks(now time.Duration, assignment func(rattanwood.UpstreamID) Assignment) []Check {
-	var due []Check
+	var due []dueCheck
 	for _, id := range p.order {
 		r := p.upstreams[id]
 		assigned := assignment(id)
 		if assigned == Unused && r.failures > 0 && now-r.lastCheck >= p.cfg.RecheckPeriod && !r.running {
 			r.forget()
 		}
-		cause, isDue := p.isDue(now, r, assigned)
+		if cause, isDue := p.isDue(now, r, assigned); isDue && !r.running {
+			overdue := float64(now-r.lastCheck) / float64(p.period(cause, assigned))
+			if cause == Repeated {
+				overdue = math.Inf(1)
+			}
+			due = append(due, dueCheck{id: id, state: r, cause: cause, overdue: overdue})
+		}
+	}
+	slices.SortStableFunc(due, func(a, b dueCheck) int { return cmp.Compare(b.overdue, a.overdue) })
+	p.longestOverdue = 0
+	var started []Check
+	for _, d := range due {
 		// All checks spend from the budget in one class: Answers has neither a reserve nor an overdraft.
-		if r.running || !isDue || !p.budget.Allow(now, limiter.Answers, 1) {
+		if !p.budget.Allow(now, limiter.Answers, 1) {
+			p.longestOverdue = max(p.longestOverdue, now-d.state.lastCheck)
 			continue
 		}
-		suspected := r.failures > 0 || r.suspicionReported || r.peerReported || r.trafficEvidence
-		r.beginCheck(now, suspected)
-		due = append(due, Check{Upstream: id, Identify: suspected, Cause: cause})
+		suspected := d.state.failures > 0 || d.state.suspicionReported || d.state.peerReported || d.state.trafficEvidence
+		d.state.beginCheck(now, suspected)
+		started = append(started, Check{Upstream: d.id, Identify: suspected, Cause: d.cause})
 	}
-	return due
+	return started
 }
 
+// LongestOverdue returns the time since the last check of the upstream that has waited longest, of those whose checks
+// were due at the last StartDueChecks but exceeded the budget.
+func (p *Prober) LongestOverdue() time.Duration { return p.longestOverdue }
+
 // ReferenceDelay is how long a check runs before StartReference is called for it. Upstreams that run
 // answer in a fraction of it, and a reference check that begins then still ends before the first one
 // times out.
@@ -363,6 +393,21 @@
 	return Regular, false
 }
 
+// period returns the time between two checks of an upstream that have the same cause.
+func (p *Prober) period(cause Cause, assignment Assignment) time.Duration {
+	switch {
+	case cause == Suspected:
+		return p.cfg.SuspicionInterval
+	case cause == PeerReported:
+		return p.cfg.PeerReportInterval
+	case cause == Rechecked:
+		return p.cfg.RecheckPeriod
+	case assignment == AssignedRemote:
+		return p.cfg.RemotePeriod
+	}
+	return p.cfg.LocalPeriod
+}
+
 // pickReference returns the upstream that passed a check last, of those that don't fail and aren't
 // being checked. As long as none has passed, it is the next one in the order of the IDs, so that the
 // first suspicion after a start can be decided too.
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -334,6 +334,43 @@
 	}
 }
 
+// TestEachUpstreamGetsItsTurn guards against upstreams whose deaths aren't found since the checks of others use up the
+// budget: a balancer has four times as many to check as that allows, while some retransmit all the time.
+func TestEachUpstreamGetsItsTurn(t *testing.T) {
+	const n, dead, crash = 60, 60, 30 * time.Second
+	tests := map[string]struct{ suspects, turn int }{
+		"regular checks":                {0, 3 * n / 5},
+		"beside upstreams with traffic": {3, 5 * n / 5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newSimulation(n)
+			lastCheck := map[rattanwood.UpstreamID]time.Duration{}
+			longest := time.Duration(0)
+			s.checkOutcome = func(now time.Duration, due prober.Check) prober.Outcome {
+				longest = max(longest, now-lastCheck[due.Upstream])
+				lastCheck[due.Upstream] = now
+				if now >= crash && due.Upstream == dead {
+					return prober.Refused
+				}
+				return prober.Passed
+			}
+			for s.now < 2*crash+time.Duration(test.turn)*time.Second {
+				for id := range test.suspects {
+					s.p.ReportSuspicion(rattanwood.UpstreamID(id + 1))
+				}
+				s.run(s.now + step)
+			}
+			turn := time.Duration(test.turn) * time.Second
+			c.Assert(lastCheck, qt.HasLen, n)
+			c.Assert(longest <= turn, qt.IsTrue, qt.Commentf("%v between two checks", longest))
+			c.Assert(s.avoidedAt[dead] > crash && s.avoidedAt[dead]-crash <= turn+time.Second, qt.IsTrue, qt.Commentf("avoided at %v", s.avoidedAt[dead]))
+			c.Assert(s.p.LongestOverdue() > time.Second && s.p.LongestOverdue() <= turn, qt.IsTrue, qt.Commentf("%v", s.p.LongestOverdue()))
+		})
+	}
+}
+
 // TestFirstSuspicionIsDecided has packets to a dead upstream retransmitted right after a start, before any
 // regular check.
 func TestFirstSuspicionIsDecided(t *testing.T) {
