cli: take signals before anything else

What could happen: a request to read the settings again (SIGHUP) that came before the loop for it had started ended the process. With the affinity home it ended the process at any time. Change: serve takes SIGHUP, SIGTERM and SIGINT before it reads its command line, and hands them to the node. Before main a Go program can't take any. Tests of a node's reloads ask it directly now, since the signals are no longer the node's own.

--- a/internal/cli/balancer.go
+++ b/internal/cli/balancer.go
@@ -50,7 +50,30 @@
 
 // Balancer runs the rattanwood command with args and returns the exit status.
 func Balancer(args []string) int {
-	return runCommand("rattanwood", "Layer-4 load balancer.", &balancerCommands{}, args)
+	commands := &balancerCommands{}
+	if len(args) > 0 && args[0] == serveName {
+		commands.Serve.signals = takeSignals()
+	}
+	return runCommand("rattanwood", "Layer-4 load balancer.", commands, args)
+}
+
+// serveName is the name of the command that runs a balancer.
+const serveName = "serve"
+
+// signals are those that a balancer's process gets.
+type signals struct {
+	// stop is done once the process is asked to end.
+	stop context.Context
+	// reload receives a value for each request to read the settings again.
+	reload chan os.Signal
+}
+
+// takeSignals receives the signals that would end the process otherwise. Any may arrive right after its start.
+func takeSignals() signals {
+	s := signals{reload: make(chan os.Signal, 1)}
+	signal.Notify(s.reload, syscall.SIGHUP)
+	s.stop, _ = signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	return s
 }
 
 // runCommand parses args and runs the chosen command. It returns the exit status.
@@ -73,6 +96,8 @@
 
 type serveCommand struct {
 	Settings string `arg:"" help:"Settings file." type:"existingfile"`
+
+	signals signals
 }
 
 // Run runs a balancer until SIGTERM or SIGINT.
@@ -86,25 +111,23 @@
 		return err
 	}
 	incarnation := rattanwood.Incarnation(time.Now().UnixNano())
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
 	if set.Affinity == settings.AffinityTag {
 		time.AfterFunc(tagGCDelay, func() { debug.SetGCPercent(tagGCPercent) })
 		n, err := node.New(node.Config{
 			Settings: set, SettingsFile: c.Settings, Incarnation: incarnation, Log: log,
 			Source: platform.NewStore(platform.Config{Address: netip.MustParseAddrPort(set.Platform), StallTimeout: node.SourceStallTimeout}), Interpreter: platform.Interpreter{},
-			Codec: platform.Codec{Port: set.TunnelAddress().Port()}, IdentityChecker: platform.IdentityChecker{},
+			Codec: platform.Codec{Port: set.TunnelAddress().Port()}, IdentityChecker: platform.IdentityChecker{}, Reload: c.signals.reload,
 		})
 		if err != nil {
 			return err
 		}
-		return n.Run(ctx)
+		return n.Run(c.signals.stop)
 	}
 	s, err := server.New(server.Config{Settings: set, Incarnation: incarnation, Log: log.Logger})
 	if err != nil {
 		return err
 	}
-	return s.Run(ctx)
+	return s.Run(c.signals.stop)
 }
 
 type checkCommand struct {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -181,6 +182,7 @@
 	stops     []context.CancelFunc
 	ended     []chan error
 	files     []string
+	reloads   []chan os.Signal
 	logs      []*lockedBuffer
 	upstreams []*fakeUpstream
 	caller    *net.UDPConn
@@ -286,9 +288,11 @@
 	logs := &lockedBuffer{}
 	log, err := logger.New(logs, "debug", set.VM)
 	f.c.Assert(err, qt.IsNil)
+	reload := make(chan os.Signal, 1)
 	n, err := node.New(node.Config{
 		Settings: set, SettingsFile: file, Incarnation: rattanwood.Incarnation(time.Now().UnixNano()), Log: log,
 		Source: f.source, Interpreter: platform.Interpreter{}, Codec: platform.Codec{Port: uint16(f.ports.Tunnel)}, IdentityChecker: platform.IdentityChecker{},
+		Reload: reload,
 	})
 	f.c.Assert(err, qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
@@ -296,6 +300,18 @@
 	go func() { ended <- n.Run(ctx) }()
 	f.c.Cleanup(stop)
 	f.stops, f.ended, f.files, f.logs = append(f.stops, stop), append(f.ended, ended), append(f.files, file), append(f.logs, logs)
+	f.reloads = append(f.reloads, reload)
+}
+
+// reload has all nodes read their settings again.
+func (f *fleet) reload() {
+	for _, reload := range f.reloads {
+		select {
+		case reload <- syscall.SIGHUP:
+		default:
+			// One that hasn't been taken yet suffices, as with signals.
+		}
+	}
 }
 
 func (f *fleet) get(i int, path string, into any) int {
--- a/internal/node/keys_test.go
+++ b/internal/node/keys_test.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -151,7 +150,7 @@
 	for step, keys := range [][]sealer.KeyEntry{{old, next}, {next, old}, {next}} {
 		for i := range 3 {
 			f.setKeys(i, keys...)
-			c.Assert(syscall.Kill(syscall.Getpid(), syscall.SIGHUP), qt.IsNil)
+			f.reload()
 			f.eventually("keys in force", func() bool {
 				s := f.state(i).Keys
 				return len(s) == len(keys) && string(s[0].ID) == keys[0].ID
@@ -184,14 +183,14 @@
 	f.start(0)
 	f.eventually("ready", func() bool { return f.get(0, "/ready", nil) == http.StatusOK })
 	c.Assert(os.Chmod(f.keyFiles[0], 0o644), qt.IsNil)
-	c.Assert(syscall.Kill(syscall.Getpid(), syscall.SIGHUP), qt.IsNil)
+	f.reload()
 	const rejected = "invalid key file, keeping the current keys"
 	f.eventually("rejected", func() bool { return f.logs[0].contains(rejected) })
-	c.Assert(syscall.Kill(syscall.Getpid(), syscall.SIGHUP), qt.IsNil)
+	f.reload()
 	f.eventually("rejected again", func() bool { return len(f.logs[0].linesWith(rejected)) == 2 })
 	c.Assert(f.logs[0].contains("turned off"), qt.IsFalse)
 	c.Assert(os.WriteFile(f.files[0], []byte(strings.Replace(f.settings(0), f.keyFiles[0], "", 1)), 0o600), qt.IsNil)
-	c.Assert(syscall.Kill(syscall.Getpid(), syscall.SIGHUP), qt.IsNil)
+	f.reload()
 	f.eventually("not turned off", func() bool { return f.logs[0].contains("keys can't be turned off without a restart") })
 	c.Assert(f.state(0).Keys, qt.HasLen, 1)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,6 +65,8 @@
 	Interpreter     rattanwood.Interpreter
 	Codec           rattanwood.Codec
 	IdentityChecker rattanwood.IdentityChecker
+	// Reload receives a value for each request to read the settings again; nil means that there are none.
+	Reload <-chan os.Signal
 }
 
 // Node is one balancer process.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"os"
-	"syscall"
 	"testing"
 	"time"
 
@@ -150,12 +149,12 @@
 	c := qt.New(t)
 	f := newFleet(c)
 	c.Assert(os.WriteFile(f.files[0], []byte("{"), 0o600), qt.IsNil)
-	c.Assert(syscall.Kill(syscall.Getpid(), syscall.SIGHUP), qt.IsNil)
+	f.reload()
 	f.eventually("invalid settings rejected", func() bool {
 		return f.logs[0].contains("invalid settings file, keeping the current settings")
 	})
 	c.Assert(os.WriteFile(f.files[0], []byte(f.settings(0)+"\n"), 0o600), qt.IsNil)
-	c.Assert(syscall.Kill(syscall.Getpid(), syscall.SIGHUP), qt.IsNil)
+	f.reload()
 	f.eventually("reloaded", func() bool { return f.logs[0].contains("settings reloaded") })
 	c.Assert(f.get(0, "/ready", nil), qt.Equals, http.StatusOK)
 }
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,12 +16,9 @@
 const reloadPeriod = 5 * time.Second
 
 // reloadLoop reloads the settings file and the key file when they have changed, which it checks periodically and
-// on SIGHUP. Only new bootstrap addresses (seeds) and keys are applied; all other changes need a restart. An
+// on a signal. Only new bootstrap addresses (seeds) and keys are applied; all other changes need a restart. An
 // invalid file is ignored.
 func (n *Node) reloadLoop(ctx context.Context) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	t := time.NewTicker(reloadPeriod)
 	defer t.Stop()
 	known, err := os.ReadFile(n.cfg.SettingsFile)
@@ -35,7 +30,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hup:
+		case <-n.cfg.Reload:
 		case <-t.C:
 		}
 		known = n.reloadSettings(known, &current)
