tagger: keep a first packet's copy on its upstream after one lost answer

Cause: after one lost answer the copy of the first packet went to a second upstream if any later flow had been answered. Both answered then, and the tag of the one that repeated its answer last took over the flow. Ruled out: following the flow to where it opened (no balancer sees which answer the Caller took), and making the second upstream forget it (balancers can't write its packets). Change: the first copy goes elsewhere after two flows without an answer or a failed check, the second copy after one, and none while the upstream answers flows that were placed later. The same holds for cold upstreams and for flows that are placed by counts. Why it works: a single loss no longer leads to a second upstream, while one that is dead or full still leaves several flows without an answer. Tests: TestOneLostAnswerMovesNoFlow failed in three of four cases before. TestRepeatedFirstPacketsLeaveSilentUpstreams asked for the move by the first copy, which is the fault; it now asks that this one stays and the second one moves. TestFlowsOpenWhileUpstreamsFallSilent holds unchanged.

--- a/tagger/allocate.go
+++ b/tagger/allocate.go
@@ -312,14 +312,14 @@
 	}
 	if r != nil && r.opening && r.counted {
 		u := t.upstreams[r.upstream]
-		if u != nil && !q.Unanswered && !t.cfg.Prober.ShouldAvoid(now, u.id) && t.allowed(route, u) {
-			r.recordCopy(now, s)
-			return forward(now, u, Retransmitted)
-		}
 		if u != nil && q.Unanswered {
-			u.silentAt = now
 			t.cfg.Prober.ReportSuspicion(u.id)
 		}
+		abandoned := u != nil && q.Unanswered && t.isAbandoned(now, u, r)
+		if u != nil && !abandoned && !t.cfg.Prober.ShouldAvoid(now, u.id) && t.allowed(route, u) {
+			r.recordCopy(now, s)
+			return forward(now, u, Retransmitted)
+		}
 	}
 	groups := t.groups(now, route, q.Service)
 	i := slices.IndexFunc(groups, func(g *group) bool { return g.dataCentre == t.cfg.DataCentre && g.part == q.Part })
--- a/tagger/cold.go
+++ b/tagger/cold.go
@@ -162,7 +162,8 @@
 // would take over the flow's tag. It goes elsewhere if that way most likely is lost.
 func (t *Tagger) reopenCold(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, r *recentFlow) Verdict {
 	u := t.upstreams[r.upstream]
-	if u != nil && !t.isUnanswered(r) && t.allowed(route, u) {
+	abandoned := u != nil && t.isUnanswered(r) && t.isAbandoned(now, u, r)
+	if u != nil && !abandoned && t.allowed(route, u) {
 		if !r.handed {
 			t.cfg.Prober.ReportSuspicion(r.upstream)
 			return t.repeatCold(now, s, u, r)
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -79,14 +79,11 @@
 		return t.reopenCold(now, s, packet, route, r)
 	}
 	t.cfg.Prober.ReportSuspicion(r.upstream)
-	unanswered := t.isUnanswered(r)
-	if u != nil && !unanswered && !t.cfg.Prober.ShouldAvoid(now, r.upstream) && t.allowed(route, u) {
+	abandoned := u != nil && t.isUnanswered(r) && t.isAbandoned(now, u, r)
+	if u != nil && !abandoned && !t.cfg.Prober.ShouldAvoid(now, r.upstream) && t.allowed(route, u) {
 		r.recordCopy(now, s)
 		return forward(now, u, Retransmitted)
 	}
-	if u != nil && unanswered {
-		u.silentAt = now
-	}
 	if r.counted && u != nil {
 		if v, ok := t.allocate(now, s, packet, route, Request{Service: u.Service, Level: admitter.LevelOf(route.Class)}); ok {
 			return v
--- a/tagger/silent_test.go
+++ b/tagger/silent_test.go
@@ -13,8 +13,9 @@
 	"example.org/rattanwood/tagger"
 )
 
-// TestRepeatedFirstPacketsLeaveSilentUpstreams has a Caller repeat a flow's first packet. Only a flow that was
-// placed later and has been answered shows that the upstream is silent, rather than the path slow.
+// TestRepeatedFirstPacketsLeaveSilentUpstreams has a Caller repeat a flow's first packet twice. Only a flow that was
+// placed later and has been answered shows that the upstream is silent, rather than the path slow. The first copy
+// stays all the same, since a single answer may have been lost.
 func TestRepeatedFirstPacketsLeaveSilentUpstreams(t *testing.T) {
 	tests := map[string]struct {
 		earlier, later bool
@@ -50,6 +51,10 @@
 			answered(3, test.later)
 			f.now += 180 * time.Millisecond
 			again := f.sendFirst(2, board)
+			c.Assert(again.Reason, qt.Equals, tagger.Retransmitted)
+			c.Assert(again.Instance, qt.Equals, v.Instance)
+			f.now += 400 * time.Millisecond
+			again = f.sendFirst(2, board)
 			c.Assert(again.Reason, qt.Equals, test.want)
 			c.Assert(again.Instance == v.Instance, qt.Equals, test.want == tagger.Retransmitted)
 			// The next repetition comes too soon for proof against the second upstream.
@@ -58,6 +63,60 @@
 	}
 }
 
+// TestOneLostAnswerMovesNoFlow guards against a flow that is open at one upstream and ends at another: after one lost
+// answer the copy of its first packet went to a second upstream, whose answers took over the flow's tag. Two flows
+// without an answer are evidence, unless the upstream has answered another one since.
+func TestOneLostAnswerMovesNoFlow(t *testing.T) {
+	tests := map[string]struct {
+		// lost is the number of flows whose answer is lost, and answers whether others of the same upstream are answered.
+		lost    int
+		answers bool
+		moved   bool
+	}{
+		"one":                              {1, false, false},
+		"two":                              {2, false, true},
+		"two, while the upstream answers":  {2, true, false},
+		"five, while the upstream answers": {5, true, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture()
+			caller := 0
+			place := func(on rattanwood.UpstreamID) int {
+				for range 1000 {
+					caller++
+					if v := f.sendFirst(caller, board); v.Instance.Upstream() == on {
+						return caller
+					}
+				}
+				c.Fatalf("no flow was placed on upstream %d", on)
+				return 0
+			}
+			answer := func(on rattanwood.UpstreamID) {
+				at := place(on)
+				f.now += 5 * time.Millisecond
+				f.sendTagged(at, board, on, 1)
+			}
+			var lost []int
+			for range test.lost {
+				lost = append(lost, place(1))
+				f.now += 5 * time.Millisecond
+			}
+			answer(2)
+			if test.answers {
+				answer(1)
+			}
+			f.now += 180 * time.Millisecond
+			moved := false
+			for _, caller := range lost {
+				moved = moved || f.sendFirst(caller, board).Reason == tagger.Reassigned
+			}
+			c.Assert(moved, qt.Equals, test.moved)
+		})
+	}
+}
+
 // TestFlowsOpenWhileUpstreamsFallSilent is the pattern of a service that loses two of four upstreams at once while
 // Callers open 60 flows a second at a balancer. Checks prove the failure 250 ms after the first suspicion; until then
 // a flow that began on a lost upstream opens on another with its first repeated packet. Of the flows, 99% have to be
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -201,7 +201,11 @@
 	lastUsed time.Duration
 	everUsed bool
 	// silentAt is when the upstream was found not to answer a first packet, or zero if it has answered one since.
-	silentAt time.Duration
+	// unanswered counts the flows whose first packet it hasn't answered since then.
+	silentAt   time.Duration
+	unanswered int
+	// answeredPlacedAt is the latest placedAt of the flows whose first packet the upstream has answered.
+	answeredPlacedAt time.Duration
 }
 
 // silenceTime is how long an upstream that didn't answer a first packet gets no new flows at most. It ends earlier when
