--- a/internal/node/admission_test.go
+++ b/internal/node/admission_test.go
@@ -53,7 +53,7 @@
 // TestAdmissionUnderOverload has upstreams answer at first, and then not at all while many more flows are
 // opened. The node must refuse some of them, and keep those that it let in.
 func TestAdmissionUnderOverload(t *testing.T) {
-	const flagClose, firstPort, openPort = 4, 1000, 1
+	const firstPort, openPort = 1000, 1
 	c := qt.New(t)
 	f := newStoppedFleet(c)
 	f.admission = true
@@ -67,24 +67,7 @@
 
 	port, refused := uint16(firstPort), 0
 	f.eventually("flows are refused", func() bool {
-		for range 10 {
-			f.send(0, packet(port, "198.18.0.1:443", flagOpen, 0, 1))
-			port++
-			time.Sleep(2 * time.Millisecond)
-		}
-		for i, u := range f.upstreams {
-			for len(u.packets) > 0 {
-				// Behind the upstream's id of 8 bytes come the packet's flags at byte 26 and its source port at byte 14.
-				if p := <-u.packets; p[8+26] == flagOpen {
-					from := binary.BigEndian.Uint16(p[8+14:])
-					f.send(0, data(from, tag(i), flagAck, 2, 100, 200))
-					f.send(0, data(from, tag(i), flagAck|flagClose, 202, 100, 0))
-				}
-			}
-		}
-		for ; len(f.resets) > 0; refused++ {
-			<-f.resets
-		}
+		refused += f.overload(&port)
 		return refused > 10
 	})
 	c.Assert(f.metrics(), qt.Matches, `(?s).*rattanwood_admissions_total{level="\d+",outcome="refused",reason="(overload|excess)"} \d+.*`)
@@ -111,6 +94,31 @@
 	c.Assert(f.receivedBy(), qt.Equals, at, qt.Commentf("an open flow goes on"))
 }
 
+// overload opens ten flows by way of the nodes in turn, from port on. Their Callers send a request at once and end the
+// flow without an answer. It returns the number of flows that were refused meanwhile.
+func (f *fleet) overload(port *uint16) (refused int) {
+	const flagClose = 4
+	for range 10 {
+		f.send(int(*port)%len(f.stops), packet(*port, "198.18.0.1:443", flagOpen, 0, 1))
+		*port++
+		time.Sleep(2 * time.Millisecond)
+	}
+	for i, u := range f.upstreams {
+		for len(u.packets) > 0 {
+			// Behind the upstream's id of 8 bytes come the packet's flags at byte 26 and its source port at byte 14.
+			if p := <-u.packets; p[8+26] == flagOpen {
+				from := binary.BigEndian.Uint16(p[8+14:])
+				f.send(int(from)%len(f.stops), data(from, tag(i), flagAck, 2, 100, 200))
+				f.send(int(from)%len(f.stops), data(from, tag(i), flagAck|flagClose, 202, 100, 0))
+			}
+		}
+	}
+	for ; len(f.resets) > 0; refused++ {
+		<-f.resets
+	}
+	return refused
+}
+
 // TestDemandsPassBetweenNodes sends all flows to one of two nodes. The other must learn of the demand.
 func TestDemandsPassBetweenNodes(t *testing.T) {
 	c := qt.New(t)
--- a/internal/node/records_test.go
+++ b/internal/node/records_test.go
@@ -1,7 +1,6 @@
 package node_test
 
 import (
-	"encoding/binary"
 	"fmt"
 	"maps"
 	"net/http"
@@ -46,7 +45,6 @@
 		"broadcast address":  change(`127.0.22.51`, `255.255.255.255`),
 		"not UTF-8":          change(`"v"`, "\"\xff\xfe\""),
 	}
-	const flagClose = 4
 	c := qt.New(t)
 	f := newStoppedFleet(c)
 	store := httptest.NewServer(emulator.StoreHandler(f.src))
@@ -61,23 +59,7 @@
 	// Many more flows are opened than the upstreams answer, by way of both nodes.
 	port, refused := uint16(1000), 0
 	load := func() bool {
-		for range 10 {
-			f.send(int(port)%len(f.stops), packet(port, "198.18.0.1:443", flagOpen, 0, 1))
-			port++
-			time.Sleep(2 * time.Millisecond)
-		}
-		for i, u := range f.upstreams {
-			for len(u.packets) > 0 {
-				if p := <-u.packets; p[8+26] == flagOpen {
-					from := binary.BigEndian.Uint16(p[8+14:])
-					f.send(int(from)%len(f.stops), data(from, tag(i), flagAck, 2, 100, 200))
-					f.send(int(from)%len(f.stops), data(from, tag(i), flagAck|flagClose, 202, 100, 0))
-				}
-			}
-		}
-		for ; len(f.resets) > 0; refused++ {
-			<-f.resets
-		}
+		refused += f.overload(&port)
 		return refused > 50
 	}
 	f.eventually("flows are refused", load)
