review: one lost answer moves a flow that was placed by counts

A balancer that counts a part's requests doesn't see the answers of the flows that it placed for others, so two lost answers of different flows count as proof that an upstream is silent, and the copy of a SYN goes to a second one, whose answer takes over the flow. Adds case 7 with its stand-ins in harness-2.

--- /dev/null
+++ b/review/harness-2/rolling.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"os"
+	"time"
+)
+
+// playRolling stops and starts balancers in turn while requesters open flows over a network that loses a datagram
+// occasionally. Each stop and each return changes the rotation, so that a copy of an opening packet goes to another
+// balancer than the opening packet went to.
+func playRolling(record, bin, dir string) (*world, error) {
+	const rollGap = 1200 * time.Millisecond
+	w, err := setUp(record, bin, dir, []string{"zone-a", "zone-b"}, 6, 6, 4, 64)
+	if err != nil {
+		return w, err
+	}
+	w.interrupts()
+	w.trouble, w.loss = os.Getenv("TROUBLE") != "0", 0.0015
+	w.putConfig(3, "unsafe", 2000)
+	if err := w.startFleet(); err != nil {
+		return w, err
+	}
+	w.heartbeats()
+	time.Sleep(3 * time.Second)
+	w.lossOn.Store(true)
+	w.rec.event("traffic begins, trouble %v", w.trouble)
+	end := time.Now().Add(104 * time.Second)
+	if w.trouble {
+		go func() {
+			time.Sleep(3 * time.Second)
+			for i := 0; time.Now().Before(end.Add(-6 * time.Second)); i++ {
+				go w.fleet.graceful(w.fleet.nodes[i*5%len(w.fleet.nodes)])
+				time.Sleep(rollGap)
+			}
+		}()
+	}
+	w.traffic(end, 600, 3)
+	return w, nil
+}
