--- a/review/harness-2/fleet.go
+++ b/review/harness-2/fleet.go
@@ -25,7 +25,10 @@
 	done           chan struct{}
 	misses         int
 	inRotation     bool
-	throttled      atomic.Int64
+	// frozen is set while the case has the process stand still, and harmedAt is when that last ended, in nanoseconds.
+	frozen    atomic.Bool
+	harmedAt  atomic.Int64
+	throttled atomic.Int64
 }
 
 // fleet starts balancers and plays the platform's routers.
@@ -227,3 +230,28 @@
 	}
 	return 0, fmt.Errorf("no free port")
 }
+
+// contactWindow is the bound contact_window_ms.
+const contactWindow = 4 * time.Second
+
+// inTouch reports whether the balancer at an address has been without unplanned impairment for contactWindow.
+func (f *fleet) inTouch(ip string) bool {
+	for _, n := range f.nodes {
+		if n.ip == ip && (n.frozen.Load() || time.Now().UnixNano()-n.harmedAt.Load() < int64(contactWindow)) {
+			return false
+		}
+	}
+	return true
+}
+
+// freeze has a balancer stand still for some time.
+func (f *fleet) freeze(n *node, d time.Duration) {
+	f.w.rec.event("%s stands still", n.name)
+	n.frozen.Store(true)
+	n.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	n.harmedAt.Store(time.Now().UnixNano())
+	n.frozen.Store(false)
+	n.signal(syscall.SIGCONT)
+	f.w.rec.event("%s goes on", n.name)
+}
--- a/review/harness-2/throttle.go
+++ b/review/harness-2/throttle.go
@@ -48,7 +48,7 @@
 			}
 			time.Sleep(time.Millisecond)
 		}
-		if stopped {
+		if stopped && !n.frozen.Load() {
 			n.signal(syscall.SIGCONT)
 		}
 	}
