prober: begin the check of a suspected upstream at once

Cause: a check that a repeated packet asked for waited for the next tick, 25 ms in the mean and 50 ms at most, before two checks of 80 ms each could show that the upstream is gone. Change: a repeated packet has tickLoop begin the check of its upstream, within the intervals and the budget as before. Test: TestSuspectedCheckStartsAtOnce.

--- a/internal/node/checks.go
+++ b/internal/node/checks.go
@@ -35,6 +35,26 @@
 	}
 }
 
+// requestCheck has tickLoop check an upstream whose Caller has repeated a packet, if that is due. If it can't take the
+// request, the next tick begins the check.
+func (n *Node) requestCheck(id rattanwood.UpstreamID) {
+	select {
+	case n.suspects <- id:
+	default:
+	}
+}
+
+// startSuspectedCheck begins the check that requestCheck asked for.
+func (n *Node) startSuspectedCheck(ctx context.Context, id rattanwood.UpstreamID) {
+	n.mu.Lock()
+	now := n.now()
+	c, ok := n.prober.StartSuspectedCheck(now, id, n.assignment(id))
+	n.mu.Unlock()
+	if ok {
+		n.startChecks(ctx, now, []prober.Check{c})
+	}
+}
+
 // startReference runs the reference check that a check still running after prober.ReferenceDelay may need.
 func (n *Node) startReference(ctx context.Context, id rattanwood.UpstreamID, began time.Duration) {
 	n.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,8 @@
 	// spreadsPerApplyDeadline is how many confirmations may be spread within the time in which a change must
 	// be in effect: twice as many as a reader sends without changes.
 	spreadsPerApplyDeadline = 6
+	// maxSuspects bounds the upstreams whose checks wait for tickLoop.
+	maxSuspects = 64
 	// receiveBufferSize is the requested size of a socket's receive buffer in bytes.
 	receiveBufferSize = 1 << 20
 )
@@ -124,6 +126,8 @@
 	heldPackets []heldPacket
 	counters    counters
 	timings     timings
+	// suspects are the upstreams that requestCheck was called for.
+	suspects chan rattanwood.UpstreamID
 
 	// background counts the goroutines that Run waits for besides its tasks.
 	background sync.WaitGroup
@@ -147,6 +151,7 @@
 		rejected:          map[string]uint64{},
 		timings:           newTimings(),
 		forwarded:         map[tagger.Reason]bool{},
+		suspects:          make(chan rattanwood.UpstreamID, maxSuspects),
 		startedForwarding: make(chan struct{}),
 		becameReady:       make(chan struct{}),
 		earlyUpstreams:    map[string]rattanwood.Position{},
@@ -382,6 +387,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case id := <-n.suspects:
+			n.startSuspectedCheck(ctx, id)
+			continue
 		case <-t.C:
 		}
 		n.mu.Lock()
--- a/internal/node/packets.go
+++ b/internal/node/packets.go
@@ -87,6 +87,9 @@
 	if first {
 		n.log.Info("first packet forwarded", zap.Stringer(logger.KeyReason, v.Reason), zap.Int64("after", now.Milliseconds()))
 	}
+	if v.Reason == tagger.Retransmitted {
+		n.requestCheck(v.Instance.Upstream())
+	}
 	n.sendDatagrams(tallies)
 	if v.Action != tagger.Forward || v.Reason != tagger.Tagged {
 		n.logVerdict(s, v, age, position)
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -449,3 +449,27 @@
 		p.StartDueChecks(0, func(rattanwood.UpstreamID) prober.Assignment { return prober.AssignedElsewhere })
 	}
 }
+
+// TestSuspectedCheckStartsAtOnce has a Caller repeat a packet: the check of the upstream doesn't wait for the next round,
+// and comes at most once in SuspicionInterval.
+func TestSuspectedCheckStartsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	p := prober.New(prober.DefaultConfig())
+	p.Add(0, 1)
+	now := prober.DefaultConfig().SuspicionInterval
+	_, ok := p.StartSuspectedCheck(now, 1, prober.AssignedElsewhere)
+	c.Assert(ok, qt.IsFalse, qt.Commentf("nobody suspects it"))
+	p.ReportSuspicion(1)
+	check, ok := p.StartSuspectedCheck(now, 1, prober.AssignedElsewhere)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(check, qt.Equals, prober.Check{Upstream: 1, Identify: true, Cause: prober.Suspected})
+	p.ReportSuspicion(1)
+	_, ok = p.StartSuspectedCheck(now, 1, prober.AssignedElsewhere)
+	c.Assert(ok, qt.IsFalse, qt.Commentf("a check is running"))
+	p.RecordResult(1, now, prober.Passed)
+	p.ReportSuspicion(1)
+	_, ok = p.StartSuspectedCheck(now+time.Millisecond, 1, prober.AssignedElsewhere)
+	c.Assert(ok, qt.IsFalse, qt.Commentf("the last one was a moment ago"))
+	_, ok = p.StartSuspectedCheck(now, 2, prober.AssignedElsewhere)
+	c.Assert(ok, qt.IsFalse, qt.Commentf("unknown upstream"))
+}
--- a/prober/schedule.go
+++ b/prober/schedule.go
@@ -56,13 +56,30 @@
 			p.longestOverdue = max(p.longestOverdue, now-d.state.lastCheck)
 			continue
 		}
-		suspected := d.state.failures > 0 || d.state.suspicionReported || d.state.peerReported || d.state.trafficEvidence
-		d.state.beginCheck(now, suspected)
-		started = append(started, Check{Upstream: d.id, Identify: suspected, Cause: d.cause})
+		started = append(started, d.state.start(now, d.id, d.cause))
 	}
 	return started
 }
 
+// StartSuspectedCheck returns the check of an upstream to begin now, if one is due because of a suspicion. StartDueChecks
+// would return it too, but goes through all upstreams.
+func (p *Prober) StartSuspectedCheck(now time.Duration, id rattanwood.UpstreamID, assignment Assignment) (c Check, ok bool) {
+	r := p.upstreams[id]
+	if r == nil || r.running {
+		return Check{}, false
+	}
+	if cause, due := p.isDue(now, r, assignment); !due || cause != Suspected || !p.budget.Allow(now, limiter.Answers, 1) {
+		return Check{}, false
+	}
+	return r.start(now, id, Suspected), true
+}
+
+func (r *upstreamState) start(now time.Duration, id rattanwood.UpstreamID, cause Cause) Check {
+	suspected := r.failures > 0 || r.suspicionReported || r.peerReported || r.trafficEvidence
+	r.beginCheck(now, suspected)
+	return Check{Upstream: id, Identify: suspected, Cause: cause}
+}
+
 // LongestOverdue returns the time since the last check of the upstream that has waited longest, of those whose checks
 // were due at the last StartDueChecks but exceeded the budget.
 func (p *Prober) LongestOverdue() time.Duration { return p.longestOverdue }
