tagger: leave copies of first packets on their upstream until its checks fail

Cause: the balancer that counts the requests of a busy service placed a copy anew in two cases. It took two answers that it hadn't seen for silence, though it sees no answers of the flows that it places for others. And it remembered a flow for its copies only if counts had placed it, not if none of the group's upstreams could be used, which is so as soon as these look silent. Ruled out: telling that balancer of the answers, which leaves the lost ones to count as evidence; two flows without an answer as evidence, as since: both are guesses, and any wrong one breaks a flow for good. Change: one rule for flows placed here, placed for others and placed on cold upstreams: a copy goes where the first packet went unless that upstream fails its checks, is gone, or may no longer serve the route. A missing answer asks for a check and keeps new flows away, as before. Tests: TestLostAnswersMoveNoFlow failed in six of nine cases before; it holds the cases of TestOneLostAnswerMovesNoFlow. Its row "two" asked for a move after two lost answers, which is the fault; the move now takes failed checks, for which rows were added. TestNewFlowsLeaveSilentUpstreams replaces TestRepeatedFirstPacketsLeaveSilentUpstreams, which asked for the move by the second copy: it asks that copies stay, that new flows leave, and that copies leave once checks fail. TestHandedFlowsKeepTheirUpstream likewise. TestFlowsOpenWhileUpstreamsFallSilent keeps its target of 400 ms and its bound; its model of the checks takes 200 ms in place of 250 ms after the copy, two checks of 80 ms and their start, since they no longer wait for a tick, and its upstreams are registered a second before.

--- a/tagger/allocate.go
+++ b/tagger/allocate.go
@@ -310,13 +310,12 @@
 	if r != nil && r.opening && r.request != nil {
 		return t.reallocate(now, s, packet, route, r, q.Unanswered)
 	}
-	if r != nil && r.opening && r.counted {
+	if r != nil && r.opening {
 		u := t.upstreams[r.upstream]
 		if u != nil && q.Unanswered {
 			t.cfg.Prober.ReportSuspicion(u.id)
 		}
-		abandoned := u != nil && q.Unanswered && t.isAbandoned(now, u, r)
-		if u != nil && !abandoned && !t.cfg.Prober.ShouldAvoid(now, u.id) && t.allowed(route, u) {
+		if t.keepsFlows(now, route, u) {
 			r.recordCopy(now, s)
 			return forward(now, u, Retransmitted)
 		}
--- a/tagger/allocate_test.go
+++ b/tagger/allocate_test.go
@@ -9,6 +9,7 @@
 	"example.org/rattanwood"
 	"example.org/rattanwood/allocator"
 	"example.org/rattanwood/confiner"
+	"example.org/rattanwood/prober"
 	"example.org/rattanwood/tagger"
 )
 
@@ -114,7 +115,7 @@
 }
 
 // TestHandedFlowsKeepTheirUpstream has the copy of a first packet arrive by another way: it goes to the same upstream,
-// unless that didn't answer.
+// unless that fails its checks.
 func TestHandedFlowsKeepTheirUpstream(t *testing.T) {
 	c := qt.New(t)
 	f := newCountingFixture()
@@ -131,6 +132,8 @@
 	s.Ack = 1
 	c.Assert(request("b", q).Instance, qt.Equals, v.Instance)
 	q.Unanswered = true
+	c.Assert(request("b", q).Instance, qt.Equals, v.Instance)
+	f.failChecks(int(v.Instance.Upstream()), prober.TimedOut)
 	c.Assert(request("b", q).Instance, qt.Not(qt.Equals), v.Instance)
 	c.Assert(f.underWay(), qt.Equals, 1)
 	tallies := f.TakeTallies(f.now)
--- a/tagger/cold.go
+++ b/tagger/cold.go
@@ -158,12 +158,11 @@
 }
 
 // reopenCold decides on the retransmission of a first packet that went to a limited upstream or was handed over. It
-// takes the same way, and the upstream's flows count it again: an answer may just be late, and a second upstream
-// would take over the flow's tag. It goes elsewhere if that way most likely is lost.
+// takes the same way, and the upstream's flows count it again.
 func (t *Tagger) reopenCold(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, r *recentFlow) Verdict {
 	u := t.upstreams[r.upstream]
-	abandoned := u != nil && t.isUnanswered(r) && t.isAbandoned(now, u, r)
-	if u != nil && !abandoned && t.allowed(route, u) {
+	t.recordSilence(now, r)
+	if t.keepsFlows(now, route, u) {
 		if !r.handed {
 			t.cfg.Prober.ReportSuspicion(r.upstream)
 			return t.repeatCold(now, s, u, r)
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -68,8 +68,7 @@
 	return t.resetIfCurrent(now, NoRoute)
 }
 
-// handleRepeated decides on a copy of an opening flow's first packet. It goes to the same upstream, unless that can't
-// or most likely won't answer.
+// handleRepeated decides on a copy of an opening flow's first packet.
 func (t *Tagger) handleRepeated(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, r *recentFlow) Verdict {
 	if r.request != nil {
 		return t.reallocate(now, s, packet, route, r, false)
@@ -79,8 +78,8 @@
 		return t.reopenCold(now, s, packet, route, r)
 	}
 	t.cfg.Prober.ReportSuspicion(r.upstream)
-	abandoned := u != nil && t.isUnanswered(r) && t.isAbandoned(now, u, r)
-	if u != nil && !abandoned && !t.cfg.Prober.ShouldAvoid(now, r.upstream) && t.allowed(route, u) {
+	t.recordSilence(now, r)
+	if t.keepsFlows(now, route, u) {
 		r.recordCopy(now, s)
 		return forward(now, u, Retransmitted)
 	}
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -96,29 +96,10 @@
 	}
 	t.cfg.Rotator.RecordAnswered(now)
 	if u := t.upstreams[r.upstream]; u != nil {
-		u.silentAt, u.unanswered, u.answeredPlacedAt = 0, 0, max(u.answeredPlacedAt, r.placedAt)
+		u.silentAt, u.answeredPlacedAt = 0, max(u.answeredPlacedAt, r.placedAt)
 	}
 }
 
-// minUnanswered is the number of flows that an upstream must have left unanswered for their first packets to go
-// elsewhere. A single answer may be lost.
-const minUnanswered = 2
-
-// isAbandoned records that the upstream of an opening flow didn't answer, and reports whether the copy of the first
-// packet that arrived should go to another one. Both could answer then, and the flow may end at either, so one lost
-// answer isn't enough, and none is while the upstream answers flows that were placed later.
-func (t *Tagger) isAbandoned(now time.Duration, u *upstream, r *recentFlow) bool {
-	if u.answeredPlacedAt > r.placedAt {
-		return false
-	}
-	first := !r.retransmitted
-	if first || u.silentAt == 0 {
-		u.unanswered++
-	}
-	u.silentAt = now
-	return !first || u.unanswered >= minUnanswered
-}
-
 // observePacket counts a flow's requests and reports a retransmission to the prober, since the
 // upstream may be dead.
 func (t *Tagger) observePacket(now time.Duration, s rattanwood.Segment) {
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -201,9 +201,7 @@
 	lastUsed time.Duration
 	everUsed bool
 	// silentAt is when the upstream was found not to answer a first packet, or zero if it has answered one since.
-	// unanswered counts the flows whose first packet it hasn't answered since then.
-	silentAt   time.Duration
-	unanswered int
+	silentAt time.Duration
 	// answeredPlacedAt is the latest placedAt of the flows whose first packet the upstream has answered.
 	answeredPlacedAt time.Duration
 }
--- a/tagger/tagger_test.go
+++ b/tagger/tagger_test.go
@@ -98,6 +98,15 @@
 	return f.Packet(f.now, s, nil)
 }
 
+// run lets time pass as a running process does.
+func (f *fixture) run(d time.Duration) {
+	const tickPeriod = 50 * time.Millisecond
+	for end := f.now + d; f.now < end; {
+		f.now = min(f.now+tickPeriod, end)
+		f.Tick(f.now)
+	}
+}
+
 // failChecks fails an upstream's checks as often as it takes to prove it dead, and returns the
 // state changes.
 func (f *fixture) failChecks(i int, o prober.Outcome) (change prober.StateChange) {
