--- a/internal/node/handover.go
+++ b/internal/node/asks.go
@@ -16,52 +16,74 @@
 	"example.org/rattanwood/wire"
 )
 
-// prepareHandOver returns the datagram that carries out a verdict of tagger.HandOver, or another verdict if the
-// budget isn't sufficient. The calling code must hold mu.
-func (n *Node) prepareHandOver(now time.Duration, s rattanwood.Segment, v tagger.Verdict, packet []byte) (tagger.Verdict, messenger.Send) {
-	a, ok := n.messenger.HandOver(now, v.Peer, encodeHandOver(v, packet))
-	if !ok {
-		return n.tagger.WithholdHandOver(now, s, packet, v.Reason), messenger.Send{}
-	}
-	return v, a
+// prepareAsks returns the datagrams that carry out verdicts of tagger.Ask, and the other packets. It decides anew on the
+// packets for which the budget isn't sufficient. The calling code must hold mu.
+func (n *Node) prepareAsks(now time.Duration, packets []tagger.OutgoingPacket) (other []tagger.OutgoingPacket, asks []messenger.Send) {
+	for len(packets) > 0 {
+		p := packets[0]
+		packets = packets[1:]
+		if p.Action != tagger.Ask {
+			other = append(other, p)
+		} else if a, ok := n.messenger.Ask(now, p.Peer, encodeAsk(*p.Request, p.Packet)); ok {
+			asks = append(asks, a)
+		} else {
+			packets = append(packets, n.tagger.Withhold(now, p.Segment)...)
+		}
+	}
+	return other, asks
 }
 
-// handleHandOver decides on a first packet that another balancer handed over.
-func (n *Node) handleHandOver(from string, h *wire.Handover) {
-	s, err := n.cfg.Codec.Parse(h.GetPacket())
+// handleAsk answers another balancer that asks where a flow's first packet goes.
+func (n *Node) handleAsk(from rattanwood.VMID, m *wire.Ask) {
+	s, err := n.cfg.Codec.Parse(m.GetPacket())
 	if err != nil {
 		n.rejectPacket(err)
 		return
 	}
+	q := decodeAsk(m)
 	n.mu.Lock()
-	now, wanted := n.now(), rattanwood.UpstreamID(h.GetUpstream())
-	var v tagger.Verdict
-	var outcome tagger.HandOverOutcome
-	var next messenger.Send
-	if h.GetUpstream() != 0 {
-		v, outcome = n.tagger.HandedPacket(now, s, h.GetPacket(), wanted)
-	} else {
-		v, outcome = n.tagger.RequestedPacket(now, rattanwood.VMID(from), s, h.GetPacket(), decodeRequest(h))
-	}
-	if v.Action == tagger.HandOver {
-		v, next = n.prepareHandOver(now, s, v, h.GetPacket())
+	now := n.now()
+	advice, ok := n.tagger.Advise(now, from, s, q)
+	var answer messenger.Send
+	if ok {
+		answer, ok = n.messenger.Advise(now, from, encodeAdvice(advice))
 	}
 	tallies := n.prepareTallies(now)
+	n.mu.Unlock()
+	if ok {
+		n.sendDatagram(answer)
+	}
+	n.sendDatagrams(tallies)
+	n.log.Info("advice given", zap.String(logger.KeyFlow, flowID(s)), zap.String(logger.KeyPeer, string(from)), zap.Bool("sent", ok),
+		zap.Stringer("wanted", q.Upstream), zap.Stringer(logger.KeyUpstream, advice.Upstream))
+}
+
+// handleAdvice decides on a first packet that waits for an answer.
+func (n *Node) handleAdvice(m *wire.Advice) {
+	n.mu.Lock()
+	now := n.now()
+	packets := n.tagger.HandleAdvice(now, decodeAdvice(m))
+	n.finishPackets(now, packets)
+}
+
+// finishPackets carries out decisions on packets that waited here. The calling code must hold mu, which finishPackets
+// releases.
+func (n *Node) finishPackets(now time.Duration, packets []tagger.OutgoingPacket) {
+	packets, asks := n.prepareAsks(now, packets)
 	age, _ := n.watcher.Age(now)
 	position := n.replica.Position()
 	n.mu.Unlock()
-	n.sendDatagrams(tallies)
-	n.log.Info("flow handed over", zap.String(logger.KeyFlow, flowID(s)), zap.Stringer(logger.KeyOutcome, outcome), zap.Stringer(logger.KeyReason, v.Reason),
-		zap.String(logger.KeyPeer, from), zap.Stringer("wanted", wanted), zap.Stringer(logger.KeyUpstream, upstreamOf(s, v)),
-		zap.Inline(logger.Position(position)), zap.Int64(logger.KeyAge, age.Milliseconds()))
-	if v.Action == tagger.HandOver {
-		n.sendDatagram(next)
-		return
-	}
-	if v.Refusal != nil {
-		n.logRefusal(s, v.Refusal)
-	}
-	n.sendPacket(nil, s, v, h.GetPacket())
+	n.sendDatagrams(asks)
+	n.sendPackets(packets, age, position)
+}
+
+// handleHandOver decides on a first packet that a balancer of an earlier build leaves to this one, like on one from the
+// fabric.
+func (n *Node) handleHandOver(from rattanwood.VMID, h *wire.Handover) {
+	n.mu.Lock()
+	n.tagger.OweTally(n.now(), from)
+	n.mu.Unlock()
+	n.handlePacket(nil, h.GetPacket())
 }
 
 // maxPressures bounds the pressures in a message.
@@ -70,36 +92,49 @@
 // maxAskedGroups bounds the groups in a message that had no room for a flow.
 const maxAskedGroups = 8
 
-// encodeHandOver returns the message that carries out a verdict of tagger.HandOver.
-func encodeHandOver(v tagger.Verdict, packet []byte) *wire.Handover {
-	q := v.Request
-	if q == nil {
-		return &wire.Handover{Upstream: uint32(v.Instance.Upstream()), Packet: packet}
-	}
-	h := &wire.Handover{
-		Packet: packet, Service: string(q.Service), Part: uint32(q.Part), Level: uint32(q.Level), Unanswered: q.Unanswered,
+// encodeAsk returns the message that asks for a first packet.
+func encodeAsk(q tagger.Request, packet []byte) *wire.Ask {
+	m := &wire.Ask{
+		Serial: q.Serial, Upstream: uint32(q.Upstream), Packet: packet, Service: string(q.Service), Part: uint32(q.Part), Level: uint32(q.Level), Last: q.Last,
 		Offered: uint32(q.Demand.Offered * slotUnits), Capacity: uint32(q.Demand.Capacity * slotUnits),
 	}
 	for _, g := range q.Asked {
-		h.Asked = append(h.Asked, uint32(g))
+		m.Asked = append(m.Asked, uint32(g))
 	}
-	return h
+	return m
 }
 
 // slotUnits is the scale of slots in messages, which count in thousandths.
 const slotUnits = 1000
 
-func decodeRequest(h *wire.Handover) tagger.Request {
+func decodeAsk(m *wire.Ask) tagger.Request {
 	q := tagger.Request{
-		Service: rattanwood.ServiceID(h.GetService()), Part: int(h.GetPart()), Level: admitter.Level(h.GetLevel()), Unanswered: h.GetUnanswered(),
-		Demand: allocator.Demand{Offered: float64(h.GetOffered()) / slotUnits, Capacity: float64(h.GetCapacity()) / slotUnits},
+		Serial: m.GetSerial(), Upstream: rattanwood.UpstreamID(m.GetUpstream()), Service: rattanwood.ServiceID(m.GetService()), Part: int(m.GetPart()), Level: admitter.Level(m.GetLevel()), Last: m.GetLast(),
+		Demand: decodeSlots(m.GetOffered(), m.GetCapacity()),
 	}
-	for _, g := range h.GetAsked()[:min(len(h.GetAsked()), maxAskedGroups)] {
+	for _, g := range m.GetAsked()[:min(len(m.GetAsked()), maxAskedGroups)] {
 		q.Asked = append(q.Asked, tagger.GroupID(g))
 	}
 	return q
 }
 
+func encodeAdvice(a tagger.Advice) *wire.Advice {
+	return &wire.Advice{
+		Serial: a.Serial, Upstream: uint32(a.Upstream),
+		Offered: uint32(a.Demand.Offered * slotUnits), Capacity: uint32(a.Demand.Capacity * slotUnits),
+	}
+}
+
+func decodeAdvice(m *wire.Advice) tagger.Advice {
+	return tagger.Advice{
+		Serial: m.GetSerial(), Upstream: rattanwood.UpstreamID(m.GetUpstream()), Demand: decodeSlots(m.GetOffered(), m.GetCapacity()),
+	}
+}
+
+func decodeSlots(offered, capacity uint32) allocator.Demand {
+	return allocator.Demand{Offered: float64(offered) / slotUnits, Capacity: float64(capacity) / slotUnits}
+}
+
 // prepareTallies returns the datagrams that tell other balancers of requests that began and ended. The calling code
 // must hold mu.
 func (n *Node) prepareTallies(now time.Duration) []messenger.Send {
--- a/internal/node/handover_test.go
+++ b/internal/node/asks_test.go
@@ -12,9 +12,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestHandOver has an upstream that is cold and bears eight flows a second, of which one holder of its lease admits
-// half. Flows that arrive at other nodes must reach it by way of the holder, and those beyond go elsewhere.
-func TestHandOver(t *testing.T) {
+// TestLeaseHolderIsAsked has an upstream that is cold and bears eight flows a second, of which one holder of its lease admits
+// half. Other nodes must ask the holder for flows that arrive at them, and those beyond go elsewhere.
+func TestLeaseHolderIsAsked(t *testing.T) {
 	const share = 4
 	c := qt.New(t)
 	f := newFleet(c)
@@ -46,9 +46,9 @@
 	windows := 1 + int(time.Since(begin)/time.Second)
 	c.Assert(cold > 0 && cold <= share*windows, qt.IsTrue, qt.Commentf("%d flows in %d windows", cold, windows))
 	for i, outcome := range map[int]string{other: "sent", holder: "admitted"} {
-		c.Assert(f.metric(i, fmt.Sprintf(`rattanwood_handovers_total{outcome=%q}`, outcome)) >= cold, qt.IsTrue)
+		c.Assert(f.metric(i, fmt.Sprintf(`rattanwood_asks_total{outcome=%q}`, outcome)) >= cold, qt.IsTrue)
 	}
-	c.Assert(len(f.logs[holder].linesWith(`"message":"flow handed over"`)) >= cold, qt.IsTrue)
+	c.Assert(len(f.logs[holder].linesWith(`"message":"advice given"`)) >= cold, qt.IsTrue)
 	c.Assert(f.logs[holder].contains("leases on cold upstreams changed"), qt.IsTrue)
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -23,7 +23,7 @@
 // Descriptions of the metrics.
 var (
 	descPackets    = prometheus.NewDesc("rattanwood_packets_total", "Packets by decision.", []string{"action", "reason"}, nil)
-	descHandOvers  = prometheus.NewDesc("rattanwood_handovers_total", "Flows for cold upstreams, and flows placed by counts of requests under way, by outcome.", []string{"outcome"}, nil)
+	descAsks       = prometheus.NewDesc("rattanwood_asks_total", "Requests to other balancers for flows that are counted there, and flows for cold upstreams, by outcome.", []string{"outcome"}, nil)
 	descRejected   = prometheus.NewDesc("rattanwood_rejected_total", "Bad input by reason.", []string{"reason"}, nil)
 	descCalls      = prometheus.NewDesc("rattanwood_source_calls_total", "Calls of the source.", []string{"outcome"}, nil)
 	descChecks     = prometheus.NewDesc("rattanwood_checks_total", "Connections opened to check upstreams, by cause.", []string{"cause"}, nil)
@@ -102,8 +102,8 @@
 	for o, count := range n.tagger.Admissions() {
 		counter(descAdmissions, count, admissionOutcome(o.Admitted), string(o.Reason), strconv.Itoa(int(o.Level)))
 	}
-	for outcome, count := range n.tagger.HandOvers() {
-		counter(descHandOvers, count, tagger.HandOverOutcome(outcome).String())
+	for outcome, count := range n.tagger.Asks() {
+		counter(descAsks, count, tagger.AskOutcome(outcome).String())
 	}
 	for reason, count := range n.rejected {
 		counter(descRejected, count, reason)
--- a/internal/node/packets.go
+++ b/internal/node/packets.go
@@ -12,7 +12,6 @@
 	"example.org/rattanwood"
 	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
-	"example.org/rattanwood/messenger"
 	"example.org/rattanwood/tagger"
 )
 
@@ -72,9 +71,9 @@
 		return out
 	}
 	v := n.tagger.Packet(now, s, datagram)
-	var handOver messenger.Send
-	if v.Action == tagger.HandOver {
-		v, handOver = n.prepareHandOver(now, s, v, datagram)
+	if v.Action == tagger.Ask {
+		n.finishPackets(now, []tagger.OutgoingPacket{{Verdict: v, Segment: s, Packet: datagram}})
+		return out
 	}
 	age, _ := n.watcher.Age(now)
 	position := n.replica.Position()
@@ -94,10 +93,6 @@
 	if v.Action != tagger.Forward || v.Reason != tagger.Tagged {
 		n.logVerdict(s, v, age, position)
 	}
-	if v.Action == tagger.HandOver {
-		n.sendDatagram(handOver)
-		return out
-	}
 	return n.sendPacket(out, s, v, datagram)
 }
 
@@ -120,7 +115,7 @@
 func (n *Node) sendPacket(out []byte, s rattanwood.Segment, v tagger.Verdict, packet []byte) []byte {
 	var to netip.AddrPort
 	switch v.Action {
-	case tagger.Drop, tagger.HandOver:
+	case tagger.Drop, tagger.Ask:
 		return out
 	case tagger.Forward:
 		out, to = n.cfg.Codec.Forward(out, packet, v.Instance), v.Address
@@ -153,7 +148,7 @@
 	if e := n.log.Check(zap.InfoLevel, message); e != nil {
 		e.Write(zap.String(logger.KeyFlow, flowID(s)), zap.Stringer(logger.KeyOutcome, v.Action),
 			zap.Stringer(logger.KeyUpstream, upstreamOf(s, v)), zap.Inline(logger.Position(position)),
-			zap.Int64(logger.KeyAge, age.Milliseconds()), peerOf(v))
+			zap.Int64(logger.KeyAge, age.Milliseconds()))
 	}
 }
 
@@ -167,20 +162,12 @@
 
 // upstreamOf returns the upstream that a verdict is about, or zero if there is none.
 func upstreamOf(s rattanwood.Segment, v tagger.Verdict) rattanwood.UpstreamID {
-	if v.Action == tagger.Forward || v.Action == tagger.HandOver && v.Request == nil {
+	if v.Action == tagger.Forward {
 		return v.Instance.Upstream()
 	}
 	return s.Tag
 }
 
-// peerOf returns the log field of the balancer to which a verdict hands a packet over, if any.
-func peerOf(v tagger.Verdict) zap.Field {
-	if v.Action == tagger.HandOver {
-		return zap.String(logger.KeyPeer, string(v.Peer))
-	}
-	return zap.Skip()
-}
-
 // flowID returns the id of a flow for logs: its endpoints as the Caller sees them.
 func flowID(s rattanwood.Segment) string { return s.Caller.String() + ">" + s.Target.String() }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -77,12 +77,20 @@
 
 // handleDatagram passes a message of another balancer to the messenger.
 func (n *Node) handleDatagram(ctx context.Context, from netip.AddrPort, e *wire.Envelope) {
+	if a := e.GetAdvice(); a != nil {
+		n.handleAdvice(a)
+		return
+	}
 	if e.GetVm() == n.cfg.Settings.VM || e.GetVm() == "" {
 		n.countRejected("peer_name")
 		return
 	}
 	if h := e.GetHandover(); h != nil {
-		n.handleHandOver(e.GetVm(), h)
+		n.handleHandOver(rattanwood.VMID(e.GetVm()), h)
+		return
+	}
+	if a := e.GetAsk(); a != nil {
+		n.handleAsk(rattanwood.VMID(e.GetVm()), a)
 		return
 	}
 	if t := e.GetTally(); t != nil {
--- a/messenger/allocation.go
+++ b/messenger/allocation.go
@@ -41,12 +41,28 @@
 	return m.eligible[dc]
 }
 
+// Ask returns the action to ask another balancer where a flow's first packet goes. It reports false if that is unknown or
+// the budget isn't sufficient.
+func (m *Messenger) Ask(now time.Duration, to rattanwood.VMID, a *wire.Ask) (Send, bool) {
+	return m.answer(now, to, &wire.Envelope{Body: &wire.Envelope_Ask{Ask: a}})
+}
+
+// Advise returns the action to answer an Ask, and false like Ask.
+func (m *Messenger) Advise(now time.Duration, to rattanwood.VMID, a *wire.Advice) (Send, bool) {
+	return m.answer(now, to, &wire.Envelope{Body: &wire.Envelope_Advice{Advice: a}})
+}
+
 // Tally returns the action to tell another balancer of requests that began and ended. It reports false if that is
 // unknown or the budget isn't sufficient; the requests then count until they are too old.
 func (m *Messenger) Tally(now time.Duration, to rattanwood.VMID, t *wire.Tally) (Send, bool) {
+	return m.answer(now, to, &wire.Envelope{Body: &wire.Envelope_Tally{Tally: t}})
+}
+
+// answer returns the action to send a message of the class limiter.Answers to a balancer.
+func (m *Messenger) answer(now time.Duration, to rattanwood.VMID, e *wire.Envelope) (Send, bool) {
 	d, known := m.Members.Member(to)
 	if !known {
 		return Send{}, false
 	}
-	return m.prepare(now, limiter.Answers, d, &wire.Envelope{Body: &wire.Envelope_Tally{Tally: t}})
+	return m.prepare(now, limiter.Answers, d, e)
 }
--- a/messenger/coldfleet_test.go
+++ b/messenger/coldfleet_test.go
@@ -49,7 +49,7 @@
 	placed map[int]bool
 	// repeated and refused count first packets that were sent again, and flows that were reset.
 	repeated, refused int
-	outcomes          tagger.HandOverCounts
+	outcomes          tagger.AskCounts
 	delay             time.Duration
 	duplicate         float64
 }
@@ -173,26 +173,66 @@
 		s.waiting = append(s.waiting, deliver)
 		return true
 	}
-	h := e.GetHandover()
-	if h == nil {
+	var handle func()
+	switch {
+	case e.GetAsk() != nil:
+		handle = func() { f.answer(to, from, e.GetAsk()) }
+	case e.GetAdvice() != nil:
+		handle = func() {
+			a := tagger.Advice{Serial: e.GetAdvice().GetSerial(), Upstream: rattanwood.UpstreamID(e.GetAdvice().GetUpstream())}
+			f.carryOutAll(to, f.state[to].tagger.HandleAdvice(f.now, a))
+		}
+	default:
 		return false
 	}
-	handle := func() {
-		f.deliverLater(to, func() {
-			f.handleHandOver(to, rattanwood.UpstreamID(h.GetUpstream()), int(h.GetPacket()[0])<<16|int(h.GetPacket()[1])<<8|int(h.GetPacket()[2]))
-		})
-	}
 	for range 1 + min(int(f.random.Float64()+f.duplicate), 1) {
-		f.after(step+time.Duration(f.random.Int64N(int64(f.delay)+1)).Truncate(step), handle)
+		f.after(step+time.Duration(f.random.Int64N(int64(f.delay)+1)).Truncate(step), func() { f.deliverLater(to, handle) })
 	}
 	return true
 }
 
-func (f *coldFleet) handleHandOver(to *node, id rattanwood.UpstreamID, flow int) {
-	s := segmentOf(flow, rattanwood.FlagOpen)
-	v, outcome := f.state[to].tagger.HandedPacket(f.now, s, packetOf(flow), id)
-	f.outcomes[outcome]++
-	f.carryOut(to, v, flow)
+// answer has a node answer another one that asks for a flow.
+func (f *coldFleet) answer(n, from *node, m *wire.Ask) {
+	p := m.GetPacket()
+	s := segmentOf(int(p[0])<<16|int(p[1])<<8|int(p[2]), rattanwood.FlagOpen)
+	a, ok := f.state[n].tagger.Advise(f.now, from.name, s, tagger.Request{Serial: m.GetSerial(), Upstream: rattanwood.UpstreamID(m.GetUpstream())})
+	switch {
+	case !ok:
+		f.outcomes[tagger.AskDropped]++
+	case a.Upstream == 0:
+		f.outcomes[tagger.AskDiverted]++
+	default:
+		f.outcomes[tagger.AskAdmitted]++
+	}
+	if !ok {
+		return
+	}
+	if answer, ok := n.messenger.Advise(f.now, from.name, &wire.Advice{Serial: a.Serial, Upstream: uint32(a.Upstream)}); ok {
+		f.transmit(n, answer)
+	}
+}
+
+// transmit sends an ask or an answer, which may be lost.
+func (f *coldFleet) transmit(from *node, a messenger.Send) {
+	if to := f.nodeAt(a.Address); !f.isCut(from, to) && f.random.Float64() >= f.loss {
+		f.intercept(to, from, a.Message)
+	}
+}
+
+// carryOutAll carries out decisions of a node.
+func (f *coldFleet) carryOutAll(n *node, packets []tagger.OutgoingPacket) {
+	for len(packets) > 0 {
+		p := packets[0]
+		packets = packets[1:]
+		flow := int(p.Packet[0])<<16 | int(p.Packet[1])<<8 | int(p.Packet[2])
+		if p.Action != tagger.Ask {
+			f.carryOut(n, p.Verdict, flow)
+		} else if a, ok := n.messenger.Ask(f.now, p.Peer, &wire.Ask{Serial: p.Request.Serial, Upstream: uint32(p.Request.Upstream), Packet: p.Packet}); ok {
+			f.transmit(n, a)
+		} else {
+			packets = append(packets, f.state[n].tagger.Withhold(f.now, p.Segment)...)
+		}
+	}
 }
 
 func (f *coldFleet) mergeLoads(to *node, h *messenger.Heartbeat) {
@@ -235,6 +275,7 @@
 			}
 			s.waiting = nil
 			s.tagger.Tick(f.now)
+			f.carryOutAll(n, s.tagger.DecideOverdue(f.now))
 			s.tagger.Confirm(f.now)
 			n.messenger.Tick(f.now, func() messenger.HeartbeatPayload { return f.payload(n) })
 			n.messenger.RequestLeases(f.now, s.tagger.ColdUpstreams(f.now))
@@ -277,16 +318,7 @@
 	f.deliverLater(n, func() {
 		s := segmentOf(flow, rattanwood.FlagOpen)
 		v := f.state[n].tagger.Packet(f.now, s, packetOf(flow))
-		if v.Action == tagger.HandOver {
-			if a, ok := n.messenger.HandOver(f.now, v.Peer, &wire.Handover{Upstream: uint32(v.Instance.Upstream()), Packet: packetOf(flow)}); ok {
-				if to := f.nodeAt(a.Address); !f.isCut(n, to) && f.random.Float64() >= f.loss {
-					f.intercept(to, n, a.Message)
-				}
-				return
-			}
-			v = f.state[n].tagger.WithholdHandOver(f.now, s, packetOf(flow), v.Reason)
-		}
-		f.carryOut(n, v, flow)
+		f.carryOutAll(n, []tagger.OutgoingPacket{{Verdict: v, Segment: s, Packet: packetOf(flow)}})
 	})
 	f.after([]time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond}[try], func() { f.open(centre, flow, try+1) })
 }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -409,8 +409,10 @@
 
 // prepare returns the action to send a datagram if the budget allows it for a class.
 func (m *Messenger) prepare(now time.Duration, class limiter.Class, to *detector.Member, e *wire.Envelope) (Send, bool) {
-	e.Vm = string(m.cfg.Detector.Self)
-	e.Life = uint64(m.cfg.Detector.Incarnation)
+	if e.GetAdvice() == nil {
+		e.Vm = string(m.cfg.Detector.Self)
+		e.Life = uint64(m.cfg.Detector.Incarnation)
+	}
 	size := proto.Size(e) + headerBytes
 	if m.cfg.Overhead != nil {
 		size += m.cfg.Overhead()
--- a/messenger/overhead_test.go
+++ b/messenger/overhead_test.go
@@ -6,11 +6,13 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"example.org/rattanwood"
 	"example.org/rattanwood/detector"
 	"example.org/rattanwood/limiter"
 	"example.org/rattanwood/messenger"
+	"example.org/rattanwood/wire"
 )
 
 // TestOverheadIsCounted checks that the bytes added to each message count against the budget.
@@ -32,3 +34,16 @@
 	}
 	qt.Assert(t, sent(func() int { return 28 })-sent(nil), qt.Equals, uint64(28))
 }
+
+// TestAnswersAreShort bounds the answers of which a balancer that counts for a busy service sends one for each flow: with
+// the names of other messages they exceed its budget in a burst.
+func TestAnswersAreShort(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, 6)
+	f.run(10 * time.Second)
+	const headers, limit = 28, 56
+	a, ok := f.nodes[0].messenger.Advise(f.now, f.nodes[3].name, &wire.Advice{Serial: 1 << 31, Upstream: 1 << 31, Offered: 900_000, Capacity: 300_000})
+	c.Assert(ok, qt.IsTrue)
+	size := headers + proto.Size(a.Message)
+	c.Assert(size <= limit, qt.IsTrue, qt.Commentf("%d bytes", size))
+}
--- a/messenger/warmup.go
+++ b/messenger/warmup.go
@@ -66,13 +66,3 @@
 		m.actions = append(m.actions, a)
 	}
 }
-
-// HandOver returns the action to send a flow's first packet to another balancer. It reports false if that is
-// unknown or the budget isn't sufficient.
-func (m *Messenger) HandOver(now time.Duration, to rattanwood.VMID, h *wire.Handover) (Send, bool) {
-	d, known := m.Members.Member(to)
-	if !known {
-		return Send{}, false
-	}
-	return m.prepare(now, limiter.Answers, d, &wire.Envelope{Body: &wire.Envelope_Handover{Handover: h}})
-}
--- a/messenger/warmup_test.go
+++ b/messenger/warmup_test.go
@@ -81,18 +81,18 @@
 		// idle is set where no lease can be held.
 		idle bool
 	}{
-		"nothing else":                     {},
-		"data centres cut off":             {before: func(f *coldFleet) { f.split(func(n *node) int { return n.dataCentre }) }},
-		"a data centre split in two":       {before: func(f *coldFleet) { f.split(func(n *node) int { return int(n.seed()/dataCentres%5) / 3 }) }},
-		"a tenth of the nodes cut off":     {before: func(f *coldFleet) { f.cutOff(f.sharing(0.1)) }},
-		"holders cut off":                  {during: func(f *coldFleet) { f.cutOff(f.holders()) }},
-		"holders killed":                   {during: func(f *coldFleet) { f.kill(f.holders()) }},
-		"holders paused":                   {during: func(f *coldFleet) { f.pause(f.holders(), 1200*time.Millisecond) }},
-		"half as many nodes added":         {before: func(f *coldFleet) { f.grow(len(f.nodes) / 2) }},
-		"half of the nodes killed":         {before: func(f *coldFleet) { f.kill(f.sharing(0.5)) }, idle: true},
-		"all nodes restarted":              {before: func(f *coldFleet) { f.restart(f.sharing(1)) }, idle: true},
-		"a third of the nodes restarted":   {before: func(f *coldFleet) { f.restart(f.sharing(0.33)) }},
-		"lost, late and doubled hand-over": {before: func(f *coldFleet) { f.loss, f.duplicate, f.delay = 0.1, 0.2, 300*time.Millisecond }},
+		"nothing else":                   {},
+		"data centres cut off":           {before: func(f *coldFleet) { f.split(func(n *node) int { return n.dataCentre }) }},
+		"a data centre split in two":     {before: func(f *coldFleet) { f.split(func(n *node) int { return int(n.seed()/dataCentres%5) / 3 }) }},
+		"a tenth of the nodes cut off":   {before: func(f *coldFleet) { f.cutOff(f.sharing(0.1)) }},
+		"holders cut off":                {during: func(f *coldFleet) { f.cutOff(f.holders()) }},
+		"holders killed":                 {during: func(f *coldFleet) { f.kill(f.holders()) }},
+		"holders paused":                 {during: func(f *coldFleet) { f.pause(f.holders(), 1200*time.Millisecond) }},
+		"half as many nodes added":       {before: func(f *coldFleet) { f.grow(len(f.nodes) / 2) }},
+		"half of the nodes killed":       {before: func(f *coldFleet) { f.kill(f.sharing(0.5)) }, idle: true},
+		"all nodes restarted":            {before: func(f *coldFleet) { f.restart(f.sharing(1)) }, idle: true},
+		"a third of the nodes restarted": {before: func(f *coldFleet) { f.restart(f.sharing(0.33)) }},
+		"lost, late and doubled asks":    {before: func(f *coldFleet) { f.loss, f.duplicate, f.delay = 0.1, 0.2, 300*time.Millisecond }},
 	}
 	for _, n := range []int{15, 100, 232} {
 		for name, test := range tests {
--- a/tagger/allocate.go
+++ b/tagger/allocate.go
@@ -23,15 +23,13 @@
 	// minWorkRatio is the least ratio of the work of a request to the time until its end is told, for the counts to be
 	// of use. Counts that are as old as a request show mostly those that have ended.
 	minWorkRatio = 3
-	// answerTime is the time within which a balancer that flows were handed over to must have sent a tally, or it gets
-	// no more of them for a while. It is less than the 200 ms after which Callers repeat a first packet, which then
-	// goes elsewhere.
+	// answerTime is the time within which a balancer that was asked must have answered, or it is asked no more for a while.
 	answerTime = 180 * time.Millisecond
-	// answerInterval is how often a balancer that hands flows over gets a tally.
+	// answerInterval is how often a balancer that asks gets a tally.
 	answerInterval = answerTime / 2
 	// surelyFull is the share of flows without room from which on a group isn't asked after another one.
 	surelyFull = 0.5
-	// minMistrust and maxMistrust bound the time for which such a balancer gets no flows. The time doubles each time.
+	// minMistrust and maxMistrust bound the time for which such a balancer isn't asked. The time doubles each time.
 	minMistrust, maxMistrust = time.Second, 8 * time.Second
 )
 
@@ -46,17 +44,33 @@
 // GroupID is a hash that stands for a group of upstreams.
 type GroupID uint32
 
-// Request is what is asked of another balancer with a first packet that is handed over.
+// Request asks another balancer to choose the upstream of a flow, or to admit the flow to one that is cold.
 type Request struct {
-	Service rattanwood.ServiceID
+	// Serial numbers the requests of the balancer that asks.
+	Serial uint32
+	// Upstream is the cold one, zero for a choice. The other fields are for a choice only.
+	Upstream rattanwood.UpstreamID
+	Service  rattanwood.ServiceID
 	// Part is that of the service's upstreams in the receiver's data centre.
 	Part  int
 	Level admitter.Level
 	// Asked are the groups that had no room, and Demand the demand for them.
 	Asked  []GroupID
 	Demand allocator.Demand
-	// Unanswered is set for a copy of a first packet that was handed over before, and was most likely not answered.
-	Unanswered bool
+	// Last is set if no other group would be asked after this one.
+	Last bool
+	// group is the one that is asked.
+	group GroupID
+}
+
+// Advice answers a Request.
+type Advice struct {
+	// Serial is that of the request.
+	Serial uint32
+	// Upstream is that of the flow, zero for none.
+	Upstream rattanwood.UpstreamID
+	// Demand is that at the balancers asked so far, if a choice found no room.
+	Demand allocator.Demand
 }
 
 // group is a part of the upstreams of a service in a data centre, of which one balancer counts the requests under way.
@@ -164,13 +178,14 @@
 	return a != nil && a.roundTrip > 0 && t.cfg.Admission.Work(service) >= minWorkRatio*(a.roundTrip+tallyDelay)
 }
 
-// allocate has a flow placed by the balancer that counts the requests under way on a group of upstreams, which may be
-// this one. It reports false if there is none that answers, and the flow must be placed without counts.
+// allocate has the upstream of a flow chosen by the balancer that counts the requests under way on a group of upstreams,
+// which may be this one. It reports false if there is none that answers, and the flow must be placed without counts.
 func (t *Tagger) allocate(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, q Request) (Verdict, bool) {
 	if t.cfg.Evacuator.Evacuated(t.cfg.DataCentre) {
 		return Verdict{}, false
 	}
-	g := t.drawGroup(t.groups(now, route, q.Service), q.Asked)
+	groups := t.groups(now, route, q.Service)
+	g := t.drawGroup(groups, q.Asked)
 	if g == nil {
 		return Verdict{}, false
 	}
@@ -189,19 +204,24 @@
 		q.Asked = append(slices.Clone(q.Asked), g.id())
 		return t.allocate(now, s, packet, route, q)
 	}
-	q.Part = g.part
-	t.handOvers[HandOverSent]++
+	q.Part, q.group, q.Last = g.part, g.id(), !t.mayAskAfter(now, groups, g, q)
 	t.awaitTally(now, peer)
-	t.rememberFlow(now, s, 0, packet)
-	if r := t.recentFlows[keyOf(s)]; r != nil {
-		r.handed, r.request, r.peer = true, &q, peer
-	}
-	return Verdict{Action: HandOver, Reason: Placed, Peer: peer, Request: &q}, true
+	return t.ask(now, s, packet, Placed, peer, q)
 }
 
-// placeCounted places a flow on an upstream of a group that is counted here. Without room it asks another group, and
-// refuses the flow if none is left to ask.
-func (t *Tagger) placeCounted(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, g *group, q Request) Verdict {
+// mayAskAfter reports whether another group may be asked if one that is asked now has no room.
+func (t *Tagger) mayAskAfter(now time.Duration, groups []*group, asked *group, q Request) bool {
+	return len(q.Asked)+1 < maxAsked && slices.ContainsFunc(groups, func(g *group) bool {
+		if g == asked || slices.Contains(q.Asked, g.id()) {
+			return false
+		}
+		peer, own, ok := t.cfg.Allocation.Ranked(g.dataCentre, g.key())
+		return ok && (own || t.pressureAt(now, peer, q).Full < surelyFull)
+	})
+}
+
+// choose chooses an upstream of a group that is counted here, and counts the flow. It returns nil without room.
+func (t *Tagger) choose(now time.Duration, s rattanwood.Segment, route *rattanwood.Route, g *group, q Request) (*upstream, allocator.Offer, allocator.Demand) {
 	ids := make([]rattanwood.UpstreamID, len(g.upstreams))
 	for i, u := range g.upstreams {
 		ids[i] = u.id
@@ -215,29 +235,53 @@
 		Flow: flowIDOf(keyOf(s)), Service: q.Service, Class: route.Class, Level: q.Level, Asked: q.Demand, Work: t.cfg.Admission.Work(q.Service),
 	}
 	d := t.cfg.Allocation.Allocator.Place(now, o, candidates)
-	if d.Index >= 0 {
-		u := g.upstreams[d.Index]
-		t.cfg.Placer.AddFlow(now, u.id, t.expectedRequests(s.Target))
-		t.rememberFlow(now, s, u.id, packet)
-		if r := t.recentFlows[keyOf(s)]; r != nil {
-			r.counted = true
-		}
-		return forward(now, u, Placed)
+	if d.Index < 0 {
+		return nil, o, d.Demand
+	}
+	return g.upstreams[d.Index], o, d.Demand
+}
+
+// placeCounted places a flow on an upstream of a group that is counted here. Without room it asks another group, and
+// refuses the flow if none is left to ask.
+func (t *Tagger) placeCounted(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, g *group, q Request) Verdict {
+	u, o, demand := t.choose(now, s, route, g, q)
+	if u != nil {
+		return t.openCounted(now, s, packet, u)
+	}
+	q.Asked, q.Demand = append(slices.Clone(q.Asked), g.id()), demand
+	v, ok := t.askNext(now, s, packet, route, q)
+	if ok {
+		t.cfg.Allocation.Allocator.HandOn(now, o)
+	} else {
+		t.cfg.Allocation.Allocator.Refuse(now, o)
+	}
+	return v
+}
+
+// openCounted opens a flow on the upstream that was chosen by counts.
+func (t *Tagger) openCounted(now time.Duration, s rattanwood.Segment, packet []byte, u *upstream) Verdict {
+	t.cfg.Placer.AddFlow(now, u.id, t.expectedRequests(s.Target))
+	t.rememberFlow(now, s, u.id, packet)
+	if r := t.recentFlows[keyOf(s)]; r != nil {
+		r.counted = true
 	}
-	q.Asked, q.Demand = append(slices.Clone(q.Asked), g.id()), d.Demand
+	return forward(now, u, Placed)
+}
+
+// askNext has another group asked for a flow that found no room in those asked so far. If none is left, it refuses the
+// flow and reports false.
+func (t *Tagger) askNext(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, q Request) (Verdict, bool) {
 	if len(q.Asked) < maxAsked {
 		if v, ok := t.allocate(now, s, packet, route, q); ok {
-			t.cfg.Allocation.Allocator.HandOn(now, o)
-			return v
+			return v, true
 		}
 	}
-	t.cfg.Allocation.Allocator.Refuse(now, o)
 	if s.Ack > 0 {
 		// Another balancer may have placed the flow, which may be open by now.
-		return t.place(now, s, packet, route, t.chooseUpstream(now, route, q.Service, 0), Placed)
+		return t.place(now, s, packet, route, t.chooseUpstream(now, route, q.Service, 0), Placed), false
 	}
 	delete(t.recentFlows, keyOf(s))
-	return t.refuse(q, 0)
+	return t.refuse(q, 0), false
 }
 
 // refuse resets a flow for which there is no room, as a balancer that counts told some time ago.
@@ -270,62 +314,62 @@
 	return p
 }
 
-// reallocate decides on a copy of a first packet that was handed over. It takes the same way unless the balancer at
-// its end doesn't answer.
-func (t *Tagger) reallocate(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, r *recentFlow, unanswered bool) Verdict {
-	if !t.trusts(now, r.peer) {
-		return t.openWarm(now, s, packet, route, Reassigned, 0)
+// Advise answers another balancer that has a flow's first packet. The flow counts here from now on, but only the one that
+// asks sends its packet. It reports false if it can't decide, or shouldn't since the request may be old.
+func (t *Tagger) Advise(now time.Duration, from rattanwood.VMID, s rattanwood.Segment, q Request) (Advice, bool) {
+	counts := q.Upstream == 0 && t.cfg.Allocation != nil && t.cfg.Admission != nil
+	if counts {
+		t.OweTally(now, from)
+	}
+	route := t.routes[s.Target]
+	if !s.Flags.Has(rattanwood.FlagOpen) || s.Flags.Has(rattanwood.FlagAck) || t.IsResuming(now) || route == nil {
+		t.asks[AskDropped]++
+		return Advice{}, false
+	}
+	a := Advice{Serial: q.Serial}
+	if q.Upstream != 0 {
+		if u := t.upstreams[q.Upstream]; u != nil && t.mayServe(now, route, u) && (!t.isLimited(now, u) || t.cfg.Warmer.Admit(now, u.id, t.rate(u))) {
+			a.Upstream = u.id
+		}
+	} else if counts {
+		t.chooseFor(now, s, route, q, &a)
+	}
+	if a.Upstream != 0 {
+		t.asks[AskAdmitted]++
+	} else {
+		t.asks[AskDiverted]++
 	}
-	q := *r.request
-	q.Unanswered = unanswered || t.isUnanswered(r)
-	r.recordCopy(now, s)
-	t.handOvers[HandOverSent]++
-	return Verdict{Action: HandOver, Reason: Retransmitted, Peer: r.peer, Request: &q}
+	return a, true
 }
 
-// RequestedPacket decides on a flow's first packet that another balancer handed over to have the flow placed by counts.
-func (t *Tagger) RequestedPacket(now time.Duration, from rattanwood.VMID, s rattanwood.Segment, packet []byte, q Request) (Verdict, HandOverOutcome) {
-	w := t.trustOf(from)
+// OweTally has a balancer get a tally, since it waits for one.
+func (t *Tagger) OweTally(now time.Duration, peer rattanwood.VMID) {
+	if t.cfg.Allocation == nil {
+		return
+	}
+	w := t.trustOf(peer)
 	w.owed = true
 	t.setAnswersDue(max(w.answeredAt+answerInterval, now))
-	v := t.decideRequested(now, s, packet, q)
-	outcome := map[Action]HandOverOutcome{Drop: HandOverDropped, Forward: HandOverAdmitted, Reset: HandOverReset, HandOver: HandOverDiverted}[v.Action]
-	t.handOvers[outcome]++
-	t.counts[v.Action][v.Reason]++
-	return v, outcome
 }
 
-func (t *Tagger) decideRequested(now time.Duration, s rattanwood.Segment, packet []byte, q Request) Verdict {
-	if !s.Flags.Has(rattanwood.FlagOpen) || s.Flags.Has(rattanwood.FlagAck) {
-		return Verdict{Reason: InvalidFlags}
-	}
-	if t.IsResuming(now) {
-		return Verdict{Reason: Resuming}
-	}
-	route := t.routes[s.Target]
-	if route == nil || !slices.ContainsFunc(route.Shares, func(share rattanwood.Share) bool { return share.Service == q.Service }) {
-		return t.refuseUnrouted(now, s)
-	}
-	r := t.recentFlows[keyOf(s)]
-	if r != nil && r.opening && r.request != nil {
-		return t.reallocate(now, s, packet, route, r, q.Unanswered)
-	}
-	if r != nil && r.opening {
-		u := t.upstreams[r.upstream]
-		if u != nil && q.Unanswered {
-			t.cfg.Prober.ReportSuspicion(u.id)
-		}
-		if t.keepsFlows(now, route, u) {
-			r.recordCopy(now, s)
-			return forward(now, u, Retransmitted)
-		}
-	}
+// chooseFor chooses an upstream by counts for another balancer.
+func (t *Tagger) chooseFor(now time.Duration, s rattanwood.Segment, route *rattanwood.Route, q Request, a *Advice) {
 	groups := t.groups(now, route, q.Service)
 	i := slices.IndexFunc(groups, func(g *group) bool { return g.dataCentre == t.cfg.DataCentre && g.part == q.Part })
 	if i < 0 {
-		return t.openWarm(now, s, packet, route, Placed, 0)
+		return
+	}
+	u, o, demand := t.choose(now, s, route, groups[i], q)
+	if u != nil {
+		a.Upstream = u.id
+		return
+	}
+	a.Demand = demand
+	if q.Last {
+		t.cfg.Allocation.Allocator.Refuse(now, o)
+	} else {
+		t.cfg.Allocation.Allocator.HandOn(now, o)
 	}
-	return t.placeCounted(now, s, packet, route, groups[i], q)
 }
 
 // flowIDOf returns the hash that stands for a flow in messages.
@@ -343,14 +387,13 @@
 	return allocator.FlowID(d.Sum64())
 }
 
-// trust is what is known of a balancer that flows are handed over to.
+// trust is what is known of a balancer that asks or is asked.
 type trust struct {
-	// waitingSince is when a flow was handed over after the last tally arrived, or zero.
+	// waitingSince is when it was asked first after its last answer or tally arrived, or zero.
 	waitingSince time.Duration
-	// mistrustedUntil is until when it gets no flows, and mistrust how long the last such time was.
+	// mistrustedUntil is until when it isn't asked, and mistrust how long the last such time was.
 	mistrustedUntil, mistrust time.Duration
-	// answeredAt is when it last got a tally because it handed a flow over, and owed is set if it handed over another
-	// one since.
+	// answeredAt is when it last got a tally because it asked, and owed is set if it has asked again since.
 	answeredAt time.Duration
 	owed       bool
 }
@@ -360,7 +403,7 @@
 	return !w.owed && w.waitingSince == 0 && now >= w.mistrustedUntil+maxMistrust && now-w.answeredAt > answerInterval
 }
 
-// awaitTally records that a flow was handed over to a balancer.
+// awaitTally records that a balancer was asked.
 func (t *Tagger) awaitTally(now time.Duration, peer rattanwood.VMID) {
 	if w := t.trustOf(peer); w.waitingSince == 0 {
 		w.waitingSince = now
@@ -374,7 +417,7 @@
 	}
 }
 
-// answerPeers adds a tally with the pressures for each balancer that handed flows over, once in answerInterval.
+// answerPeers adds a tally with the pressures for each balancer that asked, once in answerInterval.
 func (t *Tagger) answerPeers(now time.Duration) {
 	if t.answersDue == 0 || now < t.answersDue {
 		return
@@ -408,7 +451,7 @@
 	return w
 }
 
-// trusts reports whether flows may be handed over to a balancer: it answers those handed over lately.
+// trusts reports whether a balancer may be asked: it has answered lately if it was.
 func (t *Tagger) trusts(now time.Duration, peer rattanwood.VMID) bool {
 	w := t.trustOf(peer)
 	if w.waitingSince != 0 && now-w.waitingSince > answerTime {
--- a/tagger/allocate_test.go
+++ b/tagger/allocate_test.go
@@ -90,82 +90,152 @@
 	c.Assert(f.underWay(), qt.Equals, 390-refused)
 }
 
-// TestFlowsAreHandedToWhoCounts opens flows while another balancer counts. It gets them as long as it answers, and others are
-// placed here at once.
-func TestFlowsAreHandedToWhoCounts(t *testing.T) {
+// request has a flow's first packet, or a copy of it, decided on for another balancer.
+func (f *countingFixture) request(from rattanwood.VMID, caller int, copies, serial uint32) tagger.Advice {
+	s := segment(caller, board)
+	s.Flags, s.Ack = rattanwood.FlagOpen, copies
+	a, _ := f.Advise(f.now, from, s, tagger.Request{Serial: serial, Service: "board"})
+	return a
+}
+
+// sendCopy sends a copy of a flow's first packet.
+func (f *fixture) sendCopy(caller int, copies uint32) tagger.Verdict {
+	s := segment(caller, board)
+	s.Flags, s.Ack = rattanwood.FlagOpen, copies
+	return f.Packet(f.now, s, []byte("first"))
+}
+
+// TestWhoCountsIsAsked opens flows while another balancer counts. It is asked as long as it answers, and flows are placed
+// here at once otherwise.
+func TestWhoCountsIsAsked(t *testing.T) {
 	c := qt.New(t)
 	f := newCountingFixture()
 	f.ranked = "counter"
 	for caller := 1; caller <= 5; caller++ {
 		v := f.sendFirst(caller, board)
-		c.Assert(v.Action, qt.Equals, tagger.HandOver)
+		c.Assert(v.Action, qt.Equals, tagger.Ask)
 		c.Assert(v.Peer, qt.Equals, rattanwood.VMID("counter"))
 		c.Assert(v.Request.Service, qt.Equals, rattanwood.ServiceID("board"))
 		f.now += 100 * time.Millisecond
 		f.HandleTally(f.now, "counter", tagger.Tally{})
 	}
-	c.Assert(f.sendFirst(6, board).Action, qt.Equals, tagger.HandOver)
+	c.Assert(f.sendFirst(6, board).Action, qt.Equals, tagger.Ask)
 	f.now += 200 * time.Millisecond
-	again := segment(6, board)
-	again.Flags, again.Ack = rattanwood.FlagOpen, 1
-	c.Assert(f.Packet(f.now, again, []byte("first")).Reason, qt.Equals, tagger.Reassigned)
+	c.Assert(f.sendCopy(6, 1).Reason, qt.Equals, tagger.Reassigned)
 	c.Assert(f.sendFirst(7, board).Action, qt.Equals, tagger.Forward)
 	f.HandleTally(f.now, "counter", tagger.Tally{})
-	c.Assert(f.sendFirst(8, board).Action, qt.Equals, tagger.HandOver)
+	c.Assert(f.sendFirst(8, board).Action, qt.Equals, tagger.Ask)
 }
 
-// TestHandedFlowsKeepTheirUpstream has the copy of a first packet arrive by another way: it goes to the same upstream,
-// unless that fails its checks.
-func TestHandedFlowsKeepTheirUpstream(t *testing.T) {
+// TestAdvisedFlowsKeepTheirUpstream has a balancer send a flow's first packet where another one that counts says. Copies
+// go there as well, whatever the other one would say by then.
+func TestAdvisedFlowsKeepTheirUpstream(t *testing.T) {
 	c := qt.New(t)
-	f := newCountingFixture()
-	s := segment(1, board)
-	s.Flags = rattanwood.FlagOpen
-	q := tagger.Request{Service: "board"}
-	request := func(from rattanwood.VMID, q tagger.Request) tagger.Verdict {
-		v, _ := f.RequestedPacket(f.now, from, s, []byte("first"), q)
-		return v
+	f, counter := newCountingFixture(), newCountingFixture()
+	f.ranked = "counter"
+	v := f.sendFirst(1, board)
+	c.Assert(v.Action, qt.Equals, tagger.Ask)
+	a := counter.request("f", 1, 0, v.Request.Serial)
+	c.Assert(a.Upstream != 0, qt.IsTrue)
+	c.Assert(counter.underWay(), qt.Equals, 1)
+	c.Assert(counter.TakeTallies(f.now)["f"], qt.IsNotNil)
+	out := f.HandleAdvice(f.now, a)
+	c.Assert(out, qt.HasLen, 1)
+	c.Assert(out[0].Action, qt.Equals, tagger.Forward)
+	c.Assert(out[0].Instance.Upstream(), qt.Equals, a.Upstream)
+	c.Assert(string(out[0].Packet), qt.Equals, "first")
+	for copies := uint32(1); copies <= 2; copies++ {
+		f.now += 200 * time.Millisecond
+		again := f.sendCopy(1, copies)
+		c.Assert(again.Reason, qt.Equals, tagger.Retransmitted)
+		c.Assert(again.Instance.Upstream(), qt.Equals, a.Upstream)
 	}
-	v := request("a", q)
-	c.Assert(v.Action, qt.Equals, tagger.Forward)
-	f.now += 200 * time.Millisecond
-	s.Ack = 1
-	c.Assert(request("b", q).Instance, qt.Equals, v.Instance)
-	q.Unanswered = true
-	c.Assert(request("b", q).Instance, qt.Equals, v.Instance)
-	f.failChecks(int(v.Instance.Upstream()), prober.TimedOut)
-	c.Assert(request("b", q).Instance, qt.Not(qt.Equals), v.Instance)
-	c.Assert(f.underWay(), qt.Equals, 1)
-	tallies := f.TakeTallies(f.now)
-	c.Assert(tallies["a"], qt.IsNotNil)
-	c.Assert(tallies["b"], qt.IsNotNil)
+	f.failChecks(int(a.Upstream), prober.TimedOut)
+	c.Assert(f.sendCopy(1, 3).Instance.Upstream(), qt.Not(qt.Equals), a.Upstream)
 }
 
-// TestPassedOnFlowsKeepTheirUpstream has a flow passed on because the group that was asked is full, and room again when
-// the copy of its first packet arrives: the copy must go where the flow went.
-func TestPassedOnFlowsKeepTheirUpstream(t *testing.T) {
+// TestFullGroupsAreAskedOnce has a flow find no room in a group that was asked: another one is asked, and the flow is
+// refused after the last, however often balancers would pass it to each other.
+func TestFullGroupsAreAskedOnce(t *testing.T) {
 	c := qt.New(t)
 	f := newCountingFixture()
-	f.remote = "far"
+	f.ranked, f.remote = "counter", "far"
 	r := registration(4)
 	r.DataCentre = "west"
 	f.SetRegistration(f.now, r)
-	for caller := 10; caller < 400; caller++ {
-		f.sendFirst(caller, board)
+	v := f.sendFirst(1, board)
+	c.Assert(v.Action, qt.Equals, tagger.Ask)
+	full := tagger.Advice{Serial: v.Request.Serial, Demand: allocator.Demand{Offered: 9, Capacity: 6}}
+	out := f.HandleAdvice(f.now, full)
+	c.Assert(out, qt.HasLen, 1)
+	c.Assert(out[0].Action, qt.Equals, tagger.Ask)
+	c.Assert(out[0].Peer, qt.Equals, rattanwood.VMID("far"))
+	c.Assert(out[0].Request.Asked, qt.HasLen, 1)
+	c.Assert(out[0].Request.Demand, qt.Equals, full.Demand)
+	c.Assert(f.HandleAdvice(f.now, full), qt.HasLen, 0, qt.Commentf("it was answered before"))
+	c.Assert(out[0].Request.Last, qt.IsTrue)
+	full.Serial = out[0].Request.Serial
+	out = f.HandleAdvice(f.now, full)
+	c.Assert(out, qt.HasLen, 1)
+	c.Assert(out[0].Reason, qt.Equals, tagger.Overloaded)
+}
+
+// TestLateAdviceIsIgnored guards against a flow that is open at one upstream and ends at another: a balancer that counts
+// and stood still sent the first packets that it had been handed to upstreams seconds later, or one that had no room
+// handed them to and fro. Only the balancer that took a packet sends it, and only once.
+func TestLateAdviceIsIgnored(t *testing.T) {
+	tests := map[string]func(f *countingFixture) tagger.Verdict{
+		"the Caller has repeated the packet": func(f *countingFixture) tagger.Verdict {
+			f.run(200 * time.Millisecond)
+			return f.sendCopy(1, 1)
+		},
+		"the packet has waited long enough": func(f *countingFixture) tagger.Verdict {
+			f.now += 100 * time.Millisecond
+			out := f.DecideOverdue(f.now)
+			if len(out) != 1 {
+				return tagger.Verdict{}
+			}
+			return out[0].Verdict
+		},
+		"the budget didn't suffice": func(f *countingFixture) tagger.Verdict {
+			s := segment(1, board)
+			s.Flags = rattanwood.FlagOpen
+			return f.Withhold(f.now, s)[0].Verdict
+		},
+		"the flow is open by way of another balancer": func(f *countingFixture) tagger.Verdict {
+			return f.sendTagged(1, board, 2, 1)
+		},
 	}
-	s := segment(1, board)
-	s.Flags = rattanwood.FlagOpen
-	v, _ := f.RequestedPacket(f.now, "a", s, []byte("first"), tagger.Request{Service: "board"})
-	c.Assert(v.Action, qt.Equals, tagger.HandOver)
-	c.Assert(v.Peer, qt.Equals, rattanwood.VMID("far"))
-	f.HandleTally(f.now, "far", tagger.Tally{})
-	f.now += 200 * time.Millisecond
-	f.allocator.Tick(f.now + time.Minute)
+	for name, decide := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newCountingFixture()
+			f.ranked = "counter"
+			asked := f.sendFirst(1, board)
+			c.Assert(asked.Action, qt.Equals, tagger.Ask)
+			v := decide(f)
+			c.Assert(v.Action, qt.Equals, tagger.Forward)
+			for id := range rattanwood.UpstreamID(4) {
+				c.Assert(f.HandleAdvice(f.now, tagger.Advice{Serial: asked.Request.Serial, Upstream: id + 1}), qt.HasLen, 0)
+			}
+			c.Assert(f.Asks()[tagger.AskLate], qt.Equals, uint64(4))
+			if v.Reason != tagger.Tagged {
+				c.Assert(f.sendCopy(1, 2).Instance, qt.Equals, v.Instance)
+			}
+		})
+	}
+}
+
+// TestNoAdviceAfterAPause has requests wait at a balancer that stands still: their flows don't count, since they have been
+// placed without it.
+func TestNoAdviceAfterAPause(t *testing.T) {
+	c := qt.New(t)
+	f := newCountingFixture()
+	f.Tick(f.now)
+	f.now += time.Second
+	f.Tick(f.now)
+	c.Assert(f.request("a", 1, 0, 1), qt.Equals, tagger.Advice{})
 	c.Assert(f.underWay(), qt.Equals, 0)
-	s.Ack = 1
-	again, _ := f.RequestedPacket(f.now, "a", s, []byte("first"), tagger.Request{Service: "board"})
-	c.Assert(again.Action, qt.Equals, tagger.HandOver)
-	c.Assert(again.Peer, qt.Equals, v.Peer)
 }
 
 // TestEndsAreTold has requests end whose upstreams are counted elsewhere.
@@ -173,8 +243,9 @@
 	c := qt.New(t)
 	f := newCountingFixture()
 	f.ranked = "counter"
-	f.sendFirst(1, board)
+	v := f.sendFirst(1, board)
 	id := instance(1).Upstream()
+	f.HandleAdvice(f.now, tagger.Advice{Serial: v.Request.Serial, Upstream: id})
 	f.now += 2 * time.Millisecond
 	f.sendTagged(1, board, id, 2)
 	f.now += 40 * time.Millisecond
--- a/tagger/cold.go
+++ b/tagger/cold.go
@@ -15,37 +15,37 @@
 // less, the warm ones would get more than twice their usual flows.
 const minWarmShare = 0.5
 
-// HandOverOutcome is what became of a flow for a cold upstream.
-type HandOverOutcome uint8
+// AskOutcome is what became of a request to another balancer for a flow.
+type AskOutcome uint8
 
 const (
-	// HandOverSent flows were handed over to another balancer.
-	HandOverSent HandOverOutcome = iota
-	// HandOverWithheld flows were placed elsewhere, because handing over exceeded the traffic budget.
-	HandOverWithheld
-	// HandOverOwn flows arrived here from a Caller, and this balancer admitted them.
-	HandOverOwn
-	// HandOverAdmitted flows were handed over to this balancer, and it sent them to the upstream.
-	HandOverAdmitted
-	// HandOverDiverted flows were handed over to this balancer, and it placed them on another upstream.
-	HandOverDiverted
-	// HandOverReset flows were handed over to this balancer, which found no upstream for them and reset them.
-	HandOverReset
-	// HandOverDropped flows were handed over to this balancer, which couldn't decide on them.
-	HandOverDropped
-	handOverOutcomeCount
+	// AskSent requests went to another balancer.
+	AskSent AskOutcome = iota
+	// AskWithheld flows were placed without asking, because that exceeded the traffic budget.
+	AskWithheld
+	// AskOwn flows arrived here from a Caller, and this balancer admitted them to a cold upstream.
+	AskOwn
+	// AskAdmitted requests came from another balancer, and this one named an upstream.
+	AskAdmitted
+	// AskDiverted requests came from another balancer, and this one had no upstream with room.
+	AskDiverted
+	// AskDropped requests came from another balancer, and this one couldn't decide on them.
+	AskDropped
+	// AskLate answers came when their flows waited no longer.
+	AskLate
+	askOutcomeCount
 )
 
 // String returns the outcome as logs and metrics show it.
-func (o HandOverOutcome) String() string {
-	return [...]string{"sent", "withheld", "own", "admitted", "diverted", "reset", "dropped"}[o]
+func (o AskOutcome) String() string {
+	return [...]string{"sent", "withheld", "own", "admitted", "diverted", "dropped", "late"}[o]
 }
 
-// HandOverCounts holds the number of flows for cold upstreams by outcome.
-type HandOverCounts [handOverOutcomeCount]uint64
+// AskCounts holds the number of requests and flows by outcome.
+type AskCounts [askOutcomeCount]uint64
 
-// HandOvers returns the number of flows for cold upstreams by outcome.
-func (t *Tagger) HandOvers() *HandOverCounts { return &t.handOvers }
+// Asks returns the number of requests between balancers, and of flows for cold upstreams, by outcome.
+func (t *Tagger) Asks() *AskCounts { return &t.asks }
 
 // rate returns the number of new flows a second that an upstream bears while it is cold; zero means any.
 func (t *Tagger) rate(u *upstream) float64 {
@@ -134,11 +134,11 @@
 	return u.warmUntil != 0 && now < u.warmUntil+rampTime && t.rate(u) > 0
 }
 
-// openCold places a flow on a limited upstream: it counts the flow here or hands it over to the balancer that does.
+// openCold places a flow on a limited upstream: it counts the flow here or asks the balancer that does.
 func (t *Tagger) openCold(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, u *upstream, reason Reason) Verdict {
 	expected := t.expectedRequests(s.Target)
 	if t.cfg.Warmer.Admit(now, u.id, t.rate(u)) {
-		t.handOvers[HandOverOwn]++
+		t.asks[AskOwn]++
 		t.cfg.Placer.AddFlow(now, u.id, expected)
 		t.rememberFlow(now, s, u.id, packet)
 		return forward(now, u, reason)
@@ -147,31 +147,23 @@
 	if !ok {
 		return t.openWarm(now, s, packet, route, reason, 0)
 	}
-	t.handOvers[HandOverSent]++
-	// Should the peer divert the flow, this makes the upstream less likely to be chosen here again.
-	t.cfg.Placer.AddFlow(now, u.id, expected)
-	t.rememberFlow(now, s, u.id, packet)
-	if r := t.recentFlows[keyOf(s)]; r != nil {
-		r.handed = true
+	v, ok := t.ask(now, s, packet, reason, peer, Request{Upstream: u.id})
+	if !ok {
+		return t.openWarm(now, s, packet, route, reason, 0)
 	}
-	return Verdict{Action: HandOver, Reason: reason, Instance: u.Instance, Address: u.Address, Peer: peer}
+	// Should the peer not admit the flow, this makes the upstream less likely to be chosen here again.
+	t.cfg.Placer.AddFlow(now, u.id, expected)
+	return v
 }
 
-// reopenCold decides on the retransmission of a first packet that went to a limited upstream or was handed over. It
-// takes the same way, and the upstream's flows count it again.
+// reopenCold decides on the retransmission of a first packet that went to a limited upstream. It goes there again, and
+// the upstream's flows count it again.
 func (t *Tagger) reopenCold(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, r *recentFlow) Verdict {
 	u := t.upstreams[r.upstream]
+	t.cfg.Prober.ReportSuspicion(r.upstream)
 	t.recordSilence(now, r)
 	if t.keepsFlows(now, route, u) {
-		if !r.handed {
-			t.cfg.Prober.ReportSuspicion(r.upstream)
-			return t.repeatCold(now, s, u, r)
-		}
-		if peer, ok := t.cfg.Warmer.Holder(now, u.id, t.rate(u)); ok {
-			r.recordCopy(now, s)
-			t.handOvers[HandOverSent]++
-			return Verdict{Action: HandOver, Reason: Retransmitted, Instance: u.Instance, Address: u.Address, Peer: peer}
-		}
+		return t.repeatCold(now, s, packet, u, r)
 	}
 	except := r.upstream
 	if v := t.openWarm(now, s, packet, route, Reassigned, except); v.Action == Forward {
@@ -183,14 +175,21 @@
 	return t.resetIfCurrent(now, t.refusalReason(now, route))
 }
 
-// repeatCold forwards a retransmitted first packet to the upstream of its flow, and drops it if that has got as many
-// as it bears.
-func (t *Tagger) repeatCold(now time.Duration, s rattanwood.Segment, u *upstream, r *recentFlow) Verdict {
-	r.recordCopy(now, s)
-	if t.isLimited(now, u) && !t.cfg.Warmer.Admit(now, u.id, t.rate(u)) {
-		return Verdict{Reason: Limited}
+// repeatCold forwards a retransmitted first packet to the limited upstream of its flow, and drops it if that has got as
+// many as it bears. If another balancer counts them, it is asked.
+func (t *Tagger) repeatCold(now time.Duration, s rattanwood.Segment, packet []byte, u *upstream, r *recentFlow) Verdict {
+	if t.cfg.Warmer.Admit(now, u.id, t.rate(u)) {
+		r.recordCopy(now, s)
+		return forward(now, u, Retransmitted)
+	}
+	if peer, ok := t.cfg.Warmer.Holder(now, u.id, t.rate(u)); ok {
+		if v, ok := t.ask(now, s, packet, Retransmitted, peer, Request{Upstream: u.id}); ok {
+			t.waiting[keyOf(s)].repeated = true
+			return v
+		}
 	}
-	return forward(now, u, Retransmitted)
+	r.recordCopy(now, s)
+	return Verdict{Reason: Limited}
 }
 
 // openWarm places a flow on an upstream that isn't limited, and on except only if there is no other.
@@ -198,61 +197,6 @@
 	return t.place(now, s, packet, route, t.chooseWarm(now, route, t.drawService(route), except), reason)
 }
 
-// WithholdHandOver decides anew on a packet that could not be handed over.
-func (t *Tagger) WithholdHandOver(now time.Duration, s rattanwood.Segment, packet []byte, reason Reason) Verdict {
-	t.handOvers[HandOverSent]--
-	t.handOvers[HandOverWithheld]++
-	t.counts[HandOver][reason]--
-	v := t.resetIfCurrent(now, NoRoute)
-	if route := t.routes[s.Target]; route != nil {
-		v = t.openWarm(now, s, packet, route, reason, 0)
-	}
-	t.counts[v.Action][v.Reason]++
-	return v
-}
-
-// HandedPacket decides on a flow's first packet that another balancer handed over for an upstream. The flow goes
-// there if it is admitted and else to an upstream that isn't limited; it is never handed on.
-func (t *Tagger) HandedPacket(now time.Duration, s rattanwood.Segment, packet []byte, id rattanwood.UpstreamID) (Verdict, HandOverOutcome) {
-	v := t.decideHanded(now, s, packet, id)
-	outcome := HandOverDropped
-	switch {
-	case v.Action == Reset:
-		outcome = HandOverReset
-	case v.Action == Forward && v.Instance.Upstream() == id:
-		outcome = HandOverAdmitted
-	case v.Action == Forward:
-		outcome = HandOverDiverted
-	}
-	t.handOvers[outcome]++
-	t.counts[v.Action][v.Reason]++
-	return v, outcome
-}
-
-func (t *Tagger) decideHanded(now time.Duration, s rattanwood.Segment, packet []byte, id rattanwood.UpstreamID) Verdict {
-	if !s.Flags.Has(rattanwood.FlagOpen) || s.Flags.Has(rattanwood.FlagAck) {
-		return Verdict{Reason: InvalidFlags}
-	}
-	if t.IsResuming(now) {
-		return Verdict{Reason: Resuming}
-	}
-	route := t.routes[s.Target]
-	if route == nil {
-		return t.refuseUnrouted(now, s)
-	}
-	if r := t.recentFlows[keyOf(s)]; r != nil && r.opening && !r.handed {
-		if u := t.upstreams[r.upstream]; u != nil && t.mayServe(now, route, u) {
-			return t.repeatCold(now, s, u, r)
-		}
-	}
-	u := t.upstreams[id]
-	if u == nil || !t.mayServe(now, route, u) || t.isLimited(now, u) && !t.cfg.Warmer.Admit(now, id, t.rate(u)) {
-		return t.openWarm(now, s, packet, route, Placed, 0)
-	}
-	t.rememberFlow(now, s, id, packet)
-	return forward(now, u, Placed)
-}
-
 // mayServe reports whether an upstream that a peer chose may take a new flow of a route.
 func (t *Tagger) mayServe(now time.Duration, route *rattanwood.Route, u *upstream) bool {
 	serves := slices.ContainsFunc(route.Shares, func(s rattanwood.Share) bool { return s.Service == u.Service })
--- a/tagger/cold_test.go
+++ b/tagger/cold_test.go
@@ -42,10 +42,12 @@
 	f.SetRegistration(f.now, r)
 }
 
-func (f *fixture) hand(caller, upstream int) (tagger.Verdict, tagger.HandOverOutcome) {
+// advise asks for a flow on behalf of another balancer, and returns the upstream that it is admitted to.
+func (f *fixture) advise(caller, upstream int) (id rattanwood.UpstreamID, ok bool) {
 	s := segment(caller, board)
 	s.Flags = rattanwood.FlagOpen
-	return f.HandedPacket(f.now, s, []byte("first"), instance(upstream).Upstream())
+	a, ok := f.Advise(f.now, "peer", s, tagger.Request{Upstream: instance(upstream).Upstream()})
+	return a.Upstream, ok
 }
 
 // TestColdUpstreamsAlone has a service whose upstreams are all cold: flows beyond the bound are refused at once, if
@@ -73,86 +75,120 @@
 	c.Assert(f.ColdUpstreams(f.now), qt.HasLen, 0)
 }
 
-// TestFlowsAreHandedOver checks that a balancer without the lease sends nothing to cold upstreams itself, hands
-// over no more than the holder can admit, and sends repeated first packets the same way, where they count again.
-func TestFlowsAreHandedOver(t *testing.T) {
+// TestWhoHoldsTheLeaseIsAsked checks that a balancer without the lease sends nothing to cold upstreams by itself, asks
+// for no more than the holder can admit, and asks for repeated first packets as well, which count again.
+func TestWhoHoldsTheLeaseIsAsked(t *testing.T) {
 	c := qt.New(t)
 	f := newColdFixture("holder", 1, 2)
-	handed := map[rattanwood.InstanceID]int{}
+	asked := map[rattanwood.UpstreamID]int{}
 	for caller := 1; caller < 200; caller++ {
 		v := f.sendFirst(caller, board)
-		if v.Instance != instance(1) && v.Instance != instance(2) {
-			c.Assert(v.Action, qt.Equals, tagger.Forward)
+		if v.Action == tagger.Forward {
+			c.Assert(v.Instance != instance(1) && v.Instance != instance(2), qt.IsTrue)
 			continue
 		}
-		c.Assert(v.Action, qt.Equals, tagger.HandOver)
+		c.Assert(v.Action, qt.Equals, tagger.Ask)
 		c.Assert(v.Peer, qt.Equals, rattanwood.VMID("holder"))
-		handed[v.Instance]++
-		if again := f.sendFirst(caller, board); again.Action == tagger.HandOver {
-			c.Assert(again.Instance, qt.Equals, v.Instance)
-			handed[v.Instance]++
-		} else {
-			c.Assert(again.Instance != v.Instance, qt.IsTrue, qt.Commentf("not sent to a cold upstream directly"))
+		id := v.Request.Upstream
+		asked[id]++
+		out := f.HandleAdvice(f.now, tagger.Advice{Serial: v.Request.Serial, Upstream: id})
+		c.Assert(out, qt.HasLen, 1)
+		c.Assert(out[0].Instance.Upstream(), qt.Equals, id)
+		switch again := f.sendFirst(caller, board); again.Action {
+		case tagger.Ask:
+			c.Assert(again.Request.Upstream, qt.Equals, id)
+			asked[id]++
+			out := f.HandleAdvice(f.now, tagger.Advice{Serial: again.Request.Serial, Upstream: id})
+			c.Assert(out, qt.HasLen, 1)
+			c.Assert(out[0].Reason, qt.Equals, tagger.Retransmitted)
+			c.Assert(out[0].Instance.Upstream(), qt.Equals, id)
+		default:
+			c.Assert(again, qt.Equals, tagger.Verdict{Reason: tagger.Limited}, qt.Commentf("not sent anywhere else"))
 		}
 	}
-	c.Assert(handed, qt.DeepEquals, map[rattanwood.InstanceID]int{instance(1): coldShare, instance(2): coldShare})
+	c.Assert(asked, qt.DeepEquals, map[rattanwood.UpstreamID]int{1: coldShare, 2: coldShare})
 }
 
-// TestHandedPackets checks the decision on packets that other balancers hand over.
-func TestHandedPackets(t *testing.T) {
+// TestFlowsThatAreNotAdmitted go to warm upstreams, and their copies as well.
+func TestFlowsThatAreNotAdmitted(t *testing.T) {
+	tests := map[string]func(f *fixture, caller int, q *tagger.Request) []tagger.OutgoingPacket{
+		"no room": func(f *fixture, _ int, q *tagger.Request) []tagger.OutgoingPacket {
+			return f.HandleAdvice(f.now, tagger.Advice{Serial: q.Serial})
+		},
+		"no answer": func(f *fixture, _ int, _ *tagger.Request) []tagger.OutgoingPacket {
+			f.now += 100 * time.Millisecond
+			return f.DecideOverdue(f.now)
+		},
+		"no budget": func(f *fixture, caller int, _ *tagger.Request) []tagger.OutgoingPacket {
+			s := segment(caller, board)
+			s.Flags = rattanwood.FlagOpen
+			out := f.Withhold(f.now, s)
+			want := tagger.AskCounts{tagger.AskWithheld: 1}
+			if *f.Asks() != want {
+				return nil
+			}
+			return out
+		},
+	}
+	for name, decide := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newColdFixture("holder", 1, 2, 3)
+			for caller := 1; ; caller++ {
+				v := f.sendFirst(caller, board)
+				if v.Action != tagger.Ask {
+					continue
+				}
+				out := decide(f, caller, v.Request)
+				c.Assert(out, qt.HasLen, 1)
+				c.Assert(out[0].Instance, qt.Equals, instance(4))
+				f.now += 200 * time.Millisecond
+				c.Assert(f.sendCopy(caller, 1).Instance, qt.Equals, instance(4))
+				return
+			}
+		})
+	}
+}
+
+// TestAdviceOnColdUpstreams checks the answers to other balancers.
+func TestAdviceOnColdUpstreams(t *testing.T) {
 	tests := map[string]struct {
 		change   func(f *fixture)
 		upstream int
-		action   tagger.Action
-		outcome  tagger.HandOverOutcome
+		outcome  tagger.AskOutcome
 	}{
-		"within the bound": {func(*fixture) {}, 1, tagger.Forward, tagger.HandOverAdmitted},
+		"within the bound": {func(*fixture) {}, 1, tagger.AskAdmitted},
 		"beyond the bound": {func(f *fixture) {
 			for caller := range coldShare {
-				f.hand(1000+caller, 1)
+				f.advise(1000+caller, 1)
 			}
-		}, 1, tagger.Forward, tagger.HandOverDiverted},
-		"upstream is warm":            {func(f *fixture) { f.now += 10 * time.Second }, 1, tagger.Forward, tagger.HandOverAdmitted},
-		"upstream drains":             {func(f *fixture) { f.register(1, true) }, 1, tagger.Forward, tagger.HandOverDiverted},
-		"upstream of another service": {func(*fixture) {}, 5, tagger.Forward, tagger.HandOverDiverted},
-		"unknown upstream":            {func(*fixture) {}, 9, tagger.Forward, tagger.HandOverDiverted},
-		"lease has expired":           {func(f *fixture) { f.now += 2 * time.Second }, 1, tagger.Forward, tagger.HandOverDiverted},
-		"address has no route":        {func(f *fixture) { f.SetRouting(routing(3, board)) }, 1, tagger.Reset, tagger.HandOverReset},
-		"waited during a pause":       {func(f *fixture) { f.Tick(f.now); f.now += time.Second; f.Tick(f.now) }, 1, tagger.Drop, tagger.HandOverDropped},
+		}, 1, tagger.AskDiverted},
+		"upstream is warm":            {func(f *fixture) { f.now += 10 * time.Second }, 1, tagger.AskAdmitted},
+		"upstream drains":             {func(f *fixture) { f.register(1, true) }, 1, tagger.AskDiverted},
+		"upstream of another service": {func(*fixture) {}, 5, tagger.AskDiverted},
+		"unknown upstream":            {func(*fixture) {}, 9, tagger.AskDiverted},
+		"lease has expired":           {func(f *fixture) { f.now += 2 * time.Second }, 1, tagger.AskDiverted},
+		"address has no route":        {func(f *fixture) { f.SetRouting(routing(3, board)) }, 1, tagger.AskDropped},
+		"waited during a pause":       {func(f *fixture) { f.Tick(f.now); f.now += time.Second; f.Tick(f.now) }, 1, tagger.AskDropped},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			f := newColdFixture("", 1)
 			test.change(f)
-			v, outcome := f.hand(1, test.upstream)
-			c.Assert(v.Action, qt.Equals, test.action)
-			c.Assert(outcome, qt.Equals, test.outcome)
-			c.Assert(f.HandOvers()[outcome] > 0, qt.IsTrue)
+			before := *f.Asks()
+			id, ok := f.advise(1, test.upstream)
+			c.Assert(ok, qt.Equals, test.outcome != tagger.AskDropped)
+			c.Assert(id != 0, qt.Equals, test.outcome == tagger.AskAdmitted)
+			c.Assert(f.Asks()[test.outcome], qt.Equals, before[test.outcome]+1)
 		})
 	}
 	c := qt.New(t)
 	f := newColdFixture("", 1)
-	v, _ := f.HandedPacket(f.now, segment(1, board), nil, instance(1).Upstream())
-	c.Assert(v, qt.Equals, tagger.Verdict{Reason: tagger.InvalidFlags})
-}
-
-// TestRepeatedHandOver checks that the copy of a packet that was handed over goes to the upstream that was chosen for
-// the first one, also if that was another than wanted.
-func TestRepeatedHandOver(t *testing.T) {
-	c := qt.New(t)
-	f := newColdFixture("", 1)
-	for caller := 1; caller <= 2*coldShare; caller++ {
-		v, _ := f.hand(caller, 1)
-		f.now += warmer.Window / 10
-		again, _ := f.hand(caller, 1)
-		if again.Action == tagger.Forward {
-			c.Assert(again.Instance, qt.Equals, v.Instance)
-			c.Assert(again.Reason, qt.Equals, tagger.Retransmitted)
-		} else {
-			c.Assert(again, qt.Equals, tagger.Verdict{Reason: tagger.Limited})
-		}
-	}
+	f.advise(1, 1)
+	c.Assert(f.TakeTallies(f.now), qt.HasLen, 0, qt.Commentf("nothing is counted"))
+	_, ok := f.Advise(f.now, "peer", segment(1, board), tagger.Request{Upstream: 1})
+	c.Assert(ok, qt.IsFalse, qt.Commentf("not a first packet"))
 }
 
 // TestColdUpstreamsGetNoReassignedFlows checks that flows of an upstream that fails don't go to cold upstreams,
@@ -206,18 +242,3 @@
 	f.evacuator.Set(f.now, "east", 1)
 	c.Assert(f.ColdUpstreams(f.now), qt.HasLen, 0)
 }
-
-// TestWithheldHandOver checks that a flow which could not be handed over goes to a warm upstream.
-func TestWithheldHandOver(t *testing.T) {
-	c := qt.New(t)
-	f := newColdFixture("holder", 1, 2, 3)
-	for caller := 1; ; caller++ {
-		if v := f.sendFirst(caller, board); v.Action == tagger.HandOver {
-			s := segment(caller, board)
-			s.Flags = rattanwood.FlagOpen
-			c.Assert(f.WithholdHandOver(f.now, s, []byte("first"), v.Reason).Instance, qt.Equals, instance(4))
-			break
-		}
-	}
-	c.Assert(*f.HandOvers(), qt.Equals, tagger.HandOverCounts{tagger.HandOverWithheld: 1})
-}
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -37,6 +37,9 @@
 	if route == nil {
 		return t.refuseUnrouted(now, s)
 	}
+	if w := t.stopWaiting(keyOf(s)); w != nil {
+		return t.handleCopyOfWaiting(now, s, packet, route, w)
+	}
 	if r := t.recentFlows[keyOf(s)]; r != nil {
 		if r.opening {
 			return t.handleRepeated(now, s, packet, route, r)
@@ -70,11 +73,8 @@
 
 // handleRepeated decides on a copy of an opening flow's first packet.
 func (t *Tagger) handleRepeated(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, r *recentFlow) Verdict {
-	if r.request != nil {
-		return t.reallocate(now, s, packet, route, r, false)
-	}
 	u := t.upstreams[r.upstream]
-	if r.handed || u != nil && t.isLimited(now, u) {
+	if u != nil && t.isLimited(now, u) {
 		return t.reopenCold(now, s, packet, route, r)
 	}
 	t.cfg.Prober.ReportSuspicion(r.upstream)
@@ -118,6 +118,8 @@
 	if u == nil {
 		return t.handleUnknownTag(now, s)
 	}
+	// If the first packet waits here, an earlier copy of it went by way of another balancer.
+	t.stopWaiting(keyOf(s))
 	dead := t.isProvedDead(now, s)
 	t.observePacket(now, s)
 	if !u.registered {
--- a/tagger/postdate_test.go
+++ b/tagger/postdate_test.go
@@ -119,18 +119,18 @@
 	}
 }
 
-// TestHandedCopiesWithoutRouteAreNotRefused hands over copies of first packets whose route isn't known here yet: the
-// balancer that knows it may have placed the flow.
-func TestHandedCopiesWithoutRouteAreNotRefused(t *testing.T) {
+// TestAsksWithoutRouteAreNotAnswered asks for first packets and copies whose route isn't known here yet: the balancer that
+// asks knows it, and decides alone.
+func TestAsksWithoutRouteAreNotAnswered(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture()
-	for copies, want := range []tagger.Action{tagger.Reset, tagger.Drop} {
-		s := segment(1+copies, unrouted)
-		s.Flags, s.Ack = rattanwood.FlagOpen, uint32(copies)
-		v, _ := f.HandedPacket(f.now, s, []byte("first"), 1)
-		c.Assert(v.Action, qt.Equals, want)
-		v, _ = f.RequestedPacket(f.now, "peer", s, []byte("first"), tagger.Request{Service: "board"})
-		c.Assert(v.Action, qt.Equals, want)
+	for copies := range uint32(2) {
+		for _, q := range []tagger.Request{{Upstream: 1}, {Service: "board"}} {
+			s := segment(1+int(copies), unrouted)
+			s.Flags, s.Ack = rattanwood.FlagOpen, copies
+			_, ok := f.Advise(f.now, "peer", s, q)
+			c.Assert(ok, qt.IsFalse)
+		}
 	}
 }
 
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -46,12 +46,7 @@
 	requests int
 	// latency is the time until the last response began; zero means unknown.
 	latency time.Duration
-	// handed is set if the first packet was handed over, so that the flow may be on another upstream.
-	handed bool
-	// request and peer are set if it was handed over to have the flow placed by counts, and counted if this balancer
-	// placed it so.
-	request *Request
-	peer    rattanwood.VMID
+	// counted is set if the upstream was chosen by counts of requests under way.
 	counted bool
 	// tallied is set while the balancer that counts the upstream's requests has been told of one that runs, and failed
 	// if the last request failed.
@@ -105,9 +100,6 @@
 func (t *Tagger) observePacket(now time.Duration, s rattanwood.Segment) {
 	key := keyOf(s)
 	r := t.recentFlows[key]
-	if r != nil && r.opening && r.request != nil {
-		r.upstream = s.Tag
-	}
 	if r == nil || r.upstream != s.Tag {
 		if len(t.recentFlows) >= t.cfg.MaxRecentFlows {
 			return
@@ -162,9 +154,7 @@
 func (t *Tagger) ReassignOpeningFlows(now time.Duration, id rattanwood.UpstreamID) []OutgoingPacket {
 	var out []OutgoingPacket
 	for _, r := range t.recentFlows {
-		// The balancer to which a first packet was handed over reassigns its flow.
-		// So does the one that handed it over to be placed by counts, which sees the Caller's copies.
-		if r.upstream != id || !r.opening || r.handed || r.counted || r.copyMissed(now) {
+		if r.upstream != id || !r.opening || r.copyMissed(now) {
 			continue
 		}
 		route := t.routes[r.segment.Target]
--- a/tagger/silent_test.go
+++ b/tagger/silent_test.go
@@ -75,36 +75,36 @@
 		// lost is the number of flows whose answer is lost, and answers whether others of the same upstream are answered.
 		lost    int
 		answers bool
-		// asked has the flows placed for another balancer, by counts unless none of the part's upstreams can be used.
-		asked, empty, fails bool
+		// counts has the flows placed by counts, here or as another balancer says.
+		counts, asked, fails bool
 	}{
 		"one":                              {lost: 1},
 		"two":                              {lost: 2},
 		"five":                             {lost: 5},
 		"two, while the upstream answers":  {lost: 2, answers: true},
 		"five, while the upstream answers": {lost: 5, answers: true},
-		"two, placed by counts":            {lost: 2, asked: true},
-		"five, placed by counts":           {lost: 5, asked: true},
-		"one, placed without counts":       {lost: 1, asked: true, empty: true},
+		"two, placed by counts":            {lost: 2, counts: true},
+		"five, placed by counts":           {lost: 5, counts: true},
+		"two, placed as advised":           {lost: 2, counts: true, asked: true},
+		"five, placed as advised":          {lost: 5, counts: true, asked: true},
 		"checks fail":                      {lost: 1, fails: true},
-		"checks fail, placed by counts":    {lost: 1, asked: true, fails: true},
+		"checks fail, placed by counts":    {lost: 1, counts: true, fails: true},
+		"checks fail, placed as advised":   {lost: 1, counts: true, asked: true, fails: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			f := newCountingFixture()
-			f.admission.busy = test.asked
+			f.admission.busy = test.counts
+			if test.asked {
+				f.ranked = "counter"
+			}
 			send := func(caller int, copies uint32) tagger.Verdict {
-				s := segment(caller, board)
-				s.Flags, s.Ack = rattanwood.FlagOpen, copies
-				if !test.asked {
-					return f.Packet(f.now, s, []byte("first"))
-				}
-				q := tagger.Request{Service: "board", Unanswered: copies > 0}
-				if test.empty {
-					q.Part = 1
+				v := f.sendCopy(caller, copies)
+				if v.Action == tagger.Ask {
+					upstream := rattanwood.UpstreamID(1 + caller%4)
+					return f.HandleAdvice(f.now, tagger.Advice{Serial: v.Request.Serial, Upstream: upstream})[0].Verdict
 				}
-				v, _ := f.RequestedPacket(f.now, "a", s, []byte("first"), q)
 				return v
 			}
 			caller := 0
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -36,13 +36,13 @@
 	Forward
 	// Reset tells the Caller that the flow can't continue.
 	Reset
-	// HandOver passes the packet to another balancer, which counts the new flows of a cold upstream or the requests
-	// under way on a group of upstreams.
-	HandOver
+	// Ask keeps the packet until another balancer has answered, which counts the new flows of a cold upstream or the
+	// requests under way on a group of upstreams.
+	Ask
 )
 
 // String returns the name of the action.
-func (a Action) String() string { return [...]string{"drop", "forward", "reset", "handover"}[a] }
+func (a Action) String() string { return [...]string{"drop", "forward", "reset", "ask"}[a] }
 
 // Reason is the cause of a decision.
 type Reason uint8
@@ -98,14 +98,13 @@
 type Verdict struct {
 	Action Action
 	Reason Reason
-	// Instance and Address are those of the upstream. They are set for Forward and HandOver only.
+	// Instance and Address are those of the upstream. They are set for Forward only.
 	Instance rattanwood.InstanceID
 	Address  netip.AddrPort
 	// Refusal is set for the reason Overloaded only.
 	Refusal *Refusal
-	// Peer is the balancer that gets the packet. It is set for HandOver only.
-	Peer rattanwood.VMID
-	// Request is set for HandOver if Peer is to place the flow by counts. Instance and Address are empty then.
+	// Peer is the balancer that is asked for Request. Both are set for Ask only.
+	Peer    rattanwood.VMID
 	Request *Request
 }
 
@@ -114,7 +113,7 @@
 type OutgoingPacket struct {
 	Verdict
 	Segment rattanwood.Segment
-	// Packet holds the bytes to send; it is set for Forward only.
+	// Packet holds the bytes to send; it is set for Forward and Ask only.
 	Packet []byte
 }
 
@@ -260,12 +259,17 @@
 	slotsUpdatedAt time.Duration
 	slotsOutdated  bool
 	admissions     map[AdmissionOutcome]uint64
-	handOvers      HandOverCounts
-	// trusted holds what is known of balancers that flows are handed over to.
+	asks           AskCounts
+	// waiting are the flows whose first packets wait for the answers of other balancers.
+	// They are also in asked, by the serial of the last request, which is askSerial for the newest.
+	waiting   map[flowKey]*waitingFlow
+	asked     map[uint32]*waitingFlow
+	askSerial uint32
+	// trusted holds what is known of balancers that ask or are asked.
 	trusted map[rattanwood.VMID]*trust
 	// answersDue is when one of them is to get a tally that it is owed; zero for none.
 	answersDue time.Duration
-	// pressures are what balancers told of the room for flows that were handed over to them.
+	// pressures are what balancers told of the room for flows that they were asked for.
 	pressures map[pressureKey]timedPressure
 	// tallies are the news of requests that TakeTallies hasn't returned yet, since tallySince or zero.
 	tallies    map[rattanwood.VMID]*Tally
@@ -273,7 +277,7 @@
 }
 
 // Counts holds the number of packets by action and reason.
-type Counts [HandOver + 1][reasonCount]uint64
+type Counts [Ask + 1][reasonCount]uint64
 
 // New returns a tagger without routes and upstreams.
 func New(cfg Config) *Tagger {
@@ -294,6 +298,10 @@
 		unknownTags:     map[rattanwood.UpstreamID]time.Duration{},
 		undecided:       map[flowKey]sighting{},
 
+		waiting: map[flowKey]*waitingFlow{},
+		asked:   map[uint32]*waitingFlow{},
+		// Answers to an earlier process on this VM find no request.
+		askSerial:        cfg.Random.Uint32(),
 		answeredPlacedAt: map[netip.Prefix]time.Duration{},
 		admissions:       map[AdmissionOutcome]uint64{},
 		trusted:          map[rattanwood.VMID]*trust{},
--- a/tagger/tally.go
+++ b/tagger/tally.go
@@ -31,7 +31,7 @@
 type Tally struct {
 	Ended []EndedRequest
 	Begun []BegunRequest
-	// Pressures tell how much room the sender found for the flows that were handed over to it.
+	// Pressures tell how much room the sender found for the flows that it was asked for.
 	Pressures []allocator.Pressure
 }
 
@@ -71,7 +71,7 @@
 // recordBegin tells of a request of a flow, unless the flow was just placed by counts.
 func (t *Tagger) recordBegin(now time.Duration, key flowKey, r *recentFlow) {
 	u := t.upstreams[r.upstream]
-	first := r.requests == 1 && (r.counted || r.request != nil)
+	first := r.requests == 1 && r.counted
 	r.tallied = first
 	if first || u == nil || !t.isCounted(u.Service, key.target) {
 		return
--- /dev/null
+++ b/tagger/waiting.go
@@ -0,0 +1,151 @@
+package tagger
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"example.org/rattanwood"
+)
+
+// The balancer that takes a flow's first packet from the fabric decides where the flow goes, and is the only one that
+// sends the packet. Others advise it: the one that counts the requests under way on a group of upstreams, and the one
+// that counts the flows of a cold upstream. An answer that comes too late is ignored, so that packets and messages that
+// waited at a balancer which stood still have no effect.
+
+// maxWait is how long a first packet may wait for an answer. With the time until the next tick, that is less than the
+// 200 ms after which its Caller repeats it.
+const maxWait = 100 * time.Millisecond
+
+// waitingFlow is a flow whose first packet waits for the answer of another balancer.
+type waitingFlow struct {
+	segment rattanwood.Segment
+	packet  []byte
+	reason  Reason
+	since   time.Duration
+	// peer was asked for request.
+	peer    rattanwood.VMID
+	request Request
+	// repeated is set for the copy of a packet that went to request.Upstream before.
+	repeated bool
+}
+
+// ask has a first packet wait until another balancer has answered a request.
+func (t *Tagger) ask(now time.Duration, s rattanwood.Segment, packet []byte, reason Reason, peer rattanwood.VMID, q Request) (Verdict, bool) {
+	if len(t.waiting) >= t.cfg.MaxRecentFlows {
+		return Verdict{}, false
+	}
+	t.asks[AskSent]++
+	t.askSerial++
+	q.Serial = t.askSerial
+	w := &waitingFlow{segment: s, packet: bytes.Clone(packet), reason: reason, since: now, peer: peer, request: q}
+	t.waiting[keyOf(s)], t.asked[q.Serial] = w, w
+	return Verdict{Action: Ask, Reason: reason, Peer: peer, Request: &q}, true
+}
+
+// stopWaiting returns the flow that waits with a key, which then waits no longer, or nil.
+func (t *Tagger) stopWaiting(key flowKey) *waitingFlow {
+	w := t.waiting[key]
+	if w != nil {
+		delete(t.waiting, key)
+		delete(t.asked, w.request.Serial)
+	}
+	return w
+}
+
+// HandleAdvice decides on the flow that an answer is about, unless the flow waits for it no longer. It returns the packet
+// to send, or to ask yet another balancer for.
+func (t *Tagger) HandleAdvice(now time.Duration, a Advice) []OutgoingPacket {
+	w := t.asked[a.Serial]
+	if w == nil {
+		t.asks[AskLate]++
+		return nil
+	}
+	t.recordAnswer(w.peer)
+	return t.decideWaiting(now, t.stopWaiting(keyOf(w.segment)), &a)
+}
+
+// Withhold decides on a flow's first packet without the balancer that was to be asked, since the traffic budget doesn't
+// suffice.
+func (t *Tagger) Withhold(now time.Duration, s rattanwood.Segment) []OutgoingPacket {
+	w := t.stopWaiting(keyOf(s))
+	if w == nil {
+		return nil
+	}
+	t.asks[AskSent]--
+	t.asks[AskWithheld]++
+	t.counts[Ask][w.reason]--
+	return t.decideWaiting(now, w, nil)
+}
+
+// DecideOverdue decides on the first packets that have waited for too long.
+func (t *Tagger) DecideOverdue(now time.Duration) []OutgoingPacket {
+	var out []OutgoingPacket
+	for key, w := range t.waiting {
+		if now-w.since >= maxWait {
+			out = append(out, t.decideWaiting(now, t.stopWaiting(key), nil)...)
+		}
+	}
+	sortByCaller(out)
+	return out
+}
+
+// decideWaiting decides on a first packet after an answer, or without one if that is nil. It drops a packet that waited
+// while this process was paused: the Caller has repeated it, possibly to another balancer.
+func (t *Tagger) decideWaiting(now time.Duration, w *waitingFlow, a *Advice) []OutgoingPacket {
+	v := Verdict{Reason: Resuming}
+	if now-w.since < firstPacketIntervals[0] && !t.IsResuming(now) {
+		v = t.openWaiting(now, w, a)
+	}
+	t.counts[v.Action][v.Reason]++
+	if v.Action == Drop {
+		return nil
+	}
+	return []OutgoingPacket{{Verdict: v, Segment: w.segment, Packet: w.packet}}
+}
+
+func (t *Tagger) openWaiting(now time.Duration, w *waitingFlow, a *Advice) Verdict {
+	s, q := w.segment, w.request
+	route := t.routes[s.Target]
+	if route == nil {
+		return t.refuseUnrouted(now, s)
+	}
+	if a != nil && a.Upstream != 0 {
+		if u := t.upstreams[a.Upstream]; t.keepsFlows(now, route, u) {
+			return t.openAdvised(now, w, u)
+		}
+	}
+	switch {
+	case w.repeated:
+		return Verdict{Reason: Limited}
+	case q.Upstream == 0 && a != nil && a.Upstream == 0:
+		q.Asked, q.Demand = append(slices.Clone(q.Asked), q.group), a.Demand
+		v, _ := t.askNext(now, s, w.packet, route, q)
+		if v.Action == Ask {
+			t.waiting[keyOf(s)].since = w.since
+		}
+		return v
+	}
+	return t.openWarm(now, s, w.packet, route, w.reason, q.Upstream)
+}
+
+// openAdvised opens a flow on the upstream that another balancer chose or admitted it to.
+func (t *Tagger) openAdvised(now time.Duration, w *waitingFlow, u *upstream) Verdict {
+	switch r := t.recentFlows[keyOf(w.segment)]; {
+	case w.request.Upstream == 0:
+		return t.openCounted(now, w.segment, w.packet, u)
+	case w.repeated && r != nil && r.opening:
+		r.recordCopy(now, w.segment)
+		return forward(now, u, Retransmitted)
+	}
+	t.rememberFlow(now, w.segment, u.id, w.packet)
+	return forward(now, u, w.reason)
+}
+
+// handleCopyOfWaiting decides on a copy of a first packet that still waits: whoever was asked doesn't answer.
+func (t *Tagger) handleCopyOfWaiting(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route, w *waitingFlow) Verdict {
+	if w.repeated {
+		return Verdict{Reason: Limited}
+	}
+	return t.openWarm(now, s, packet, route, Reassigned, w.request.Upstream)
+}
