tagger: drop first packets after a pause until the socket's buffer was empty

What is left of the cause: after a pause, first packets were dropped for 50 ms, in which a machine whose processor time is used up doesn't read its buffer. Packets from the fabric that lie deeper were still sent. Ruled out: a longer time, which drops packets on machines that have read their buffers long ago. Change: the loop that reads packets knows when a read last had to wait. Until it has after a pause, packets count as having waited, 4,096 at most, so that a balancer that always finds some goes on. Tests: TestFirstPacketsThatWaitedAreDropped failed in two of three cases without the rule.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,9 @@
 	maxSuspects = 64
 	// receiveBufferSize is the requested size of a socket's receive buffer in bytes.
 	receiveBufferSize = 1 << 20
+	// maxWaitingPackets is more than the number of the smallest packets that fit in a socket's buffer: the system counts
+	// 768 bytes for each, and doubles the size that is asked for.
+	maxWaitingPackets = 4096
 )
 
 // Config holds the settings and dependencies of a Node.
@@ -187,6 +190,7 @@
 	taggerConfig := tagger.DefaultConfig()
 	taggerConfig.DataCentre = rattanwood.DataCentre(set.DataCentre)
 	taggerConfig.Random, taggerConfig.Placer, taggerConfig.Prober = random, n.placer, n.prober
+	taggerConfig.MaxWaitingPackets = maxWaitingPackets
 	taggerConfig.Warmer, taggerConfig.Trackers = n.warmer, n.messenger.Trackers
 	taggerConfig.Evacuator, taggerConfig.Rotator, taggerConfig.Confiner = n.evacuator, n.rotator, confiner.New(confiner.Config{
 		DataCentre: rattanwood.DataCentre(set.DataCentre), Region: set.Region, Regions: set.Regions,
--- a/internal/node/packets.go
+++ b/internal/node/packets.go
@@ -41,13 +41,20 @@
 		return nil
 	case <-n.startedForwarding:
 	}
+	datagrams, err := listener.NewDatagrams(n.tunnel, n.started)
+	if err != nil {
+		return listener.IgnoreClosed(ctx, err)
+	}
 	in := make([]byte, maxDatagramSize)
 	var out []byte
 	for {
-		size, _, err := n.tunnel.ReadFromUDPAddrPort(in)
+		size, err := datagrams.Read(in)
 		if err != nil {
 			return listener.IgnoreClosed(ctx, err)
 		}
+		n.mu.Lock()
+		n.tagger.MarkRead(n.now(), datagrams.EmptyAt())
+		n.mu.Unlock()
 		began := time.Now()
 		n.packetCount.Add(1)
 		out = n.handlePacket(out[:0], in[:size])
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -139,6 +139,9 @@
 	// paused. ResumeTime is how long after the pause packets that waited during it may still be
 	// read.
 	PauseThreshold, ResumeTime time.Duration
+	// MaxWaitingPackets bounds the packets that may have waited during a pause, so that a balancer that always finds
+	// some to read goes on to place flows.
+	MaxWaitingPackets int
 	// FlowRetentionTime is how long a flow is remembered after its last packet.
 	FlowRetentionTime time.Duration
 	// MaxRecentFlows bounds the number of remembered flows, of undecided flows, and of unknown tags.
@@ -177,8 +180,7 @@
 		// Callers retransmit a first packet after 200 ms, so one that waited longer has been
 		// retransmitted, possibly to another balancer.
 		PauseThreshold: 200 * time.Millisecond,
-		// Long enough to read a full socket buffer, and far shorter than the time to the next
-		// retransmission.
+		// Far shorter than the time to the next retransmission. MarkRead prolongs it while packets wait.
 		ResumeTime: 50 * time.Millisecond,
 		// The longest time that a flow may be idle at users' sites.
 		FlowRetentionTime: 15 * time.Second,
@@ -256,7 +258,9 @@
 	everConfirmed bool
 	// lastTick is the time of the last Tick, and resumedAt the end of the last pause.
 	lastTick, resumedAt time.Duration
-	counts              Counts
+	// waitingPackets counts the packets since then that MarkRead took for ones that had waited.
+	waitingPackets int
+	counts         Counts
 	// slots are those that the admission was told, at slotsUpdatedAt; slotsOutdated is set by changes since.
 	slots          map[rattanwood.ServiceID]float64
 	slotsUpdatedAt time.Duration
@@ -464,6 +468,19 @@
 // MarkResumed records that packets may have waited in the socket's buffer until now.
 func (t *Tagger) MarkResumed(now time.Duration) { t.resumedAt = now }
 
+// MarkRead records that a packet was read, and that the socket's buffer was last empty at a time. If that was before the
+// end of a pause, the packet may have waited during it, however long it takes to read the buffer.
+func (t *Tagger) MarkRead(now, emptyAt time.Duration) {
+	t.IsResuming(now)
+	switch {
+	case t.resumedAt <= emptyAt:
+		t.waitingPackets = 0
+	case t.waitingPackets < t.cfg.MaxWaitingPackets:
+		t.waitingPackets++
+		t.resumedAt = now
+	}
+}
+
 // IsResuming reports whether a packet may have waited while this process was paused. It also detects
 // a pause that Tick hasn't recorded yet.
 func (t *Tagger) IsResuming(now time.Duration) bool {
--- a/tagger/tagger_test.go
+++ b/tagger/tagger_test.go
@@ -514,3 +514,47 @@
 		})
 	}
 }
+
+// TestFirstPacketsThatWaitedAreDropped guards against flows that reach two upstreams: a small machine needs longer than
+// ResumeTime to read what waited in its socket's buffer while it stood still, and sent the rest to upstreams although
+// the Callers had sent copies by way of other balancers.
+func TestFirstPacketsThatWaitedAreDropped(t *testing.T) {
+	const packets, limit = 10, 8
+	tests := map[string]struct {
+		// emptyAfter is the number of packets after which the buffer is found empty.
+		emptyAfter, dropped int
+	}{
+		"all waited":  {packets, limit},
+		"some waited": {4, 4},
+		"none waited": {0, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture()
+			cfg := tagger.DefaultConfig()
+			cfg.DataCentre, cfg.Random, cfg.Placer, cfg.Prober, cfg.MaxWaitingPackets = "east", f.random, f.placer, f.prober, limit
+			f.Tagger = tagger.New(cfg)
+			f.SetRouting(routing(1))
+			f.register(1, false)
+			f.Confirm(f.now)
+			f.Tick(f.now)
+			emptyAt := f.now
+			f.now += 4 * time.Second
+			f.Tick(f.now)
+			dropped := 0
+			for i := range packets {
+				if i == test.emptyAfter {
+					emptyAt = f.now
+				}
+				// Longer than ResumeTime: the machine's processor time is used up.
+				f.run(94 * time.Millisecond)
+				f.MarkRead(f.now, emptyAt)
+				if f.sendFirst(1+i, board).Reason == tagger.Resuming {
+					dropped++
+				}
+			}
+			c.Assert(dropped, qt.Equals, test.dropped)
+		})
+	}
+}
