--- a/tagger/waiting.go
+++ b/tagger/waiting.go
@@ -10,8 +10,8 @@
 
 // The balancer that takes a flow's first packet from the fabric decides where the flow goes, and is the only one that
 // sends the packet. Others advise it: the one that counts the requests under way on a group of upstreams, the one that
-// counts the flows of a cold upstream, and those that may know where an earlier copy went. An answer that comes too late is ignored, so that packets and messages that
-// waited at a balancer which stood still have no effect.
+// counts the flows of a cold upstream, and those that may know where an earlier copy went. An answer that comes too late
+// is ignored, so that packets and messages that waited at a balancer which stood still have no effect.
 
 // maxWait is how long a first packet may wait for an answer. With the time until the next tick, that is less than the
 // 200 ms after which its Caller repeats it.
