tagger: check what another balancer advises against the own routes

That one may know older records, and its advice was only checked against failed checks and evacuations: an upstream that drains, or one of another service, could get a flow. The one that advises no longer looked whether its route leads to the service, either. Change: advice to such an upstream is ignored, and the flow is placed here; a balancer whose route doesn't lead to the service doesn't answer. The time since which a flow waits is kept without a field for the flow being decided on.

--- a/tagger/allocate.go
+++ b/tagger/allocate.go
@@ -325,7 +325,8 @@
 		t.OweTally(now, from)
 	}
 	route := t.routes[s.Target]
-	if !s.Flags.Has(rattanwood.FlagOpen) || s.Flags.Has(rattanwood.FlagAck) || t.IsResuming(now) || route == nil {
+	valid := s.Flags.Has(rattanwood.FlagOpen) && !s.Flags.Has(rattanwood.FlagAck)
+	if !valid || t.IsResuming(now) || route == nil || q.Upstream == 0 && !leadsTo(route, q.Service) {
 		t.asks[AskDropped]++
 		return Advice{}, false
 	}
--- a/tagger/allocate_test.go
+++ b/tagger/allocate_test.go
@@ -234,6 +234,42 @@
 	}
 }
 
+// TestAdviceOfOlderRoutesIsIgnored has another balancer name an upstream to which no first packet may go any more.
+func TestAdviceOfOlderRoutesIsIgnored(t *testing.T) {
+	tests := map[string]func(f *countingFixture) rattanwood.UpstreamID{
+		"the upstream drains":      func(f *countingFixture) rattanwood.UpstreamID { f.register(1, true); return 1 },
+		"it is of another service": func(*countingFixture) rattanwood.UpstreamID { return 5 },
+		"it isn't known":           func(*countingFixture) rattanwood.UpstreamID { return 99 },
+		"it fails its checks":      func(f *countingFixture) rattanwood.UpstreamID { f.failChecks(1, prober.TimedOut); return 1 },
+		"its data centre is evacuated": func(f *countingFixture) rattanwood.UpstreamID {
+			r := registration(4)
+			r.DataCentre = "west"
+			f.SetRegistration(f.now, r)
+			f.evacuator.Set(f.now, "west", 1)
+			return 4
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newCountingFixture()
+			f.ranked = "counter"
+			v := f.sendFirst(1, board)
+			id := change(f)
+			out := f.HandleAdvice(f.now, tagger.Advice{Serial: v.Request.Serial, Upstream: id})
+			c.Assert(out, qt.HasLen, 1)
+			c.Assert(out[0].Action, qt.Equals, tagger.Forward)
+			c.Assert(out[0].Instance.Upstream(), qt.Not(qt.Equals), id)
+		})
+	}
+	c := qt.New(t)
+	f := newCountingFixture()
+	s := segment(1, board)
+	s.Flags = rattanwood.FlagOpen
+	_, ok := f.Advise(f.now, "a", s, tagger.Request{Service: "maps"})
+	c.Assert(ok, qt.IsFalse, qt.Commentf("the route doesn't lead there"))
+}
+
 // TestNoAdviceAfterAPause has requests wait at a balancer that stands still: their flows don't count, since they have been
 // placed without it.
 func TestNoAdviceAfterAPause(t *testing.T) {
--- a/tagger/cold.go
+++ b/tagger/cold.go
@@ -199,8 +199,15 @@
 
 // mayServe reports whether an upstream that a peer chose may take a new flow of a route.
 func (t *Tagger) mayServe(now time.Duration, route *rattanwood.Route, u *upstream) bool {
-	serves := slices.ContainsFunc(route.Shares, func(s rattanwood.Share) bool { return s.Service == u.Service })
-	return serves && slices.Contains(t.eligibleUpstreams(now, route, u.Service, anyUpstream), u)
+	return serves(route, u) && slices.Contains(t.eligibleUpstreams(now, route, u.Service, anyUpstream), u)
+}
+
+// serves reports whether an upstream is of a service to which a route leads.
+func serves(route *rattanwood.Route, u *upstream) bool { return leadsTo(route, u.Service) }
+
+// leadsTo reports whether a route leads to a service.
+func leadsTo(route *rattanwood.Route, service rattanwood.ServiceID) bool {
+	return slices.ContainsFunc(route.Shares, func(s rattanwood.Share) bool { return s.Service == service })
 }
 
 // ColdUpstreams returns the limited upstreams of the own data centre with the number of new flows a second that
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -57,16 +57,13 @@
 	if len(t.recentFlows) >= t.cfg.MaxRecentFlows {
 		return
 	}
-	key, since := keyOf(s), now
+	key := keyOf(s)
 	earlier := t.recentFlows[key]
-	if w := t.deciding; w != nil && keyOf(w.segment) == key {
-		since = w.since
-	}
 	t.recentFlows[key] = &recentFlow{
 		upstream: id, opening: true, opened: true, segment: s, packet: bytes.Clone(packet), placedAt: now, firstSeen: now, arrived: now, lastSeen: now,
 		retransmitted: s.Ack > 0 || earlier != nil && earlier.opening,
 	}
-	t.recordPlacement(now, key, id, since)
+	t.recordPlacement(now, key, id)
 }
 
 // callerNetwork returns the network of a Caller, whose members are about as far away as each other.
@@ -171,7 +168,7 @@
 		}
 		t.cfg.Placer.AddFlow(now, u.id, t.expectedRequests(r.segment.Target))
 		r.upstream, r.placedAt, r.retransmitted = u.id, now, true
-		t.recordPlacement(now, keyOf(r.segment), u.id, now)
+		t.recordPlacement(now, keyOf(r.segment), u.id)
 		t.counts[Forward][Reassigned]++
 		out = append(out, OutgoingPacket{Verdict: forward(now, u, Reassigned), Segment: r.segment, Packet: r.packet})
 	}
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -272,9 +272,8 @@
 	waiting   map[flowKey]*waitingFlow
 	asked     map[uint32]*waitingFlow
 	askSerial uint32
-	// sought are those of them whose trackers were asked, and deciding is the one whose answer is being handled.
-	sought   map[allocator.FlowID]*waitingFlow
-	deciding *waitingFlow
+	// sought are those of them whose trackers were asked.
+	sought map[allocator.FlowID]*waitingFlow
 	// placements are where flows went lately, and openings those of them that were placed here and whose trackers
 	// haven't been told yet, oldest first.
 	placements map[allocator.FlowID]placement
--- a/tagger/tracker.go
+++ b/tagger/tracker.go
@@ -41,14 +41,22 @@
 	Upstream rattanwood.UpstreamID
 }
 
-// recordPlacement records where a flow went whose first packet arrived at a time.
-func (t *Tagger) recordPlacement(now time.Duration, key flowKey, id rattanwood.UpstreamID, since time.Duration) {
+// recordPlacement records where a flow went.
+func (t *Tagger) recordPlacement(now time.Duration, key flowKey, id rattanwood.UpstreamID) {
 	if t.cfg.Trackers == nil || len(t.placements) >= t.cfg.MaxRecentFlows {
 		return
 	}
 	flow := flowIDOf(key)
 	t.placements[flow] = placement{upstream: id, at: now}
-	t.openings = append(t.openings, openingFlow{key: key, id: flow, upstream: id, since: since})
+	t.openings = append(t.openings, openingFlow{key: key, id: flow, upstream: id, since: now})
+}
+
+// backdateOpening records that the first packet of the flow that was placed last arrived earlier. It does nothing if that
+// is another flow.
+func (t *Tagger) backdateOpening(key flowKey, since time.Duration) {
+	if i := len(t.openings) - 1; i >= 0 && t.openings[i].key == key {
+		t.openings[i].since = since
+	}
 }
 
 // TakeReports returns what the trackers of flows are to be told, by balancer.
--- a/tagger/waiting.go
+++ b/tagger/waiting.go
@@ -108,9 +108,8 @@
 func (t *Tagger) decideWaiting(now time.Duration, w *waitingFlow, a *Advice) []OutgoingPacket {
 	v := Verdict{Reason: Resuming}
 	if now-w.since < firstPacketIntervals[0] && !t.IsResuming(now) {
-		t.deciding = w
 		v = t.openWaiting(now, w, a)
-		t.deciding = nil
+		t.backdateOpening(keyOf(w.segment), w.since)
 	}
 	t.counts[v.Action][v.Reason]++
 	if v.Action == Drop {
@@ -133,7 +132,8 @@
 		return t.keepSince(w, v)
 	}
 	if a != nil && a.Upstream != 0 {
-		if u := t.upstreams[a.Upstream]; t.keepsFlows(now, route, u) {
+		// Who advises may know older routes and upstreams.
+		if u := t.upstreams[a.Upstream]; t.keepsFlows(now, route, u) && serves(route, u) && !u.Draining {
 			return t.openAdvised(now, w, u)
 		}
 	}
