--- a/warmer/warmer.go
+++ b/warmer/warmer.go
@@ -30,7 +30,7 @@
 	promiseTime = LeaseTime + Window
 	// RoundInterval is the time between two requests for votes. A lease survives a lost round.
 	RoundInterval = 800 * time.Millisecond
-	// staleAfter is the time since the last request of a holder after which no flows are handed over to it.
+	// staleAfter is the time since the last request of a holder after which it isn't asked for flows.
 	staleAfter = 1200 * time.Millisecond
 	// takeoverDelay is the time without a request of any other balancer after which the next rank asks for votes.
 	takeoverDelay = staleAfter
@@ -85,7 +85,7 @@
 type Request struct {
 	Group Group
 	Round uint64
-	// Held is set if the sender already holds the lease, so that flows can be handed over to it.
+	// Held is set if the sender already holds the lease, so that it can be asked for flows.
 	Held bool
 }
 
@@ -137,8 +137,8 @@
 	// hasPeers is set once another balancer has been heard, or if there is none.
 	hasPeers bool
 	admitted map[rattanwood.UpstreamID]*Counter
-	// handed counts the flows that this balancer handed over by upstream, so that it doesn't hand over more
-	// than the holder can admit.
+	// handed counts the flows that a holder was asked for by upstream, so that it isn't asked for more than it can
+	// admit.
 	handed map[rattanwood.UpstreamID]*Counter
 }
 
@@ -320,8 +320,8 @@
 	return w.holds(now, GroupOf(id)) && counterOf(w.admitted, id).Add(now, w.share(rate))
 }
 
-// Holder returns the balancer to which a flow for a cold upstream can be handed over, and counts the flow. It
-// returns false if none is known, or if as many were handed over lately as the holder may admit.
+// Holder returns the balancer that can be asked for a flow to a cold upstream, and counts the flow. It
+// returns false if none is known, or if it was asked for as many lately as it may admit.
 func (w *Warmer) Holder(now time.Duration, id rattanwood.UpstreamID, rate float64) (rattanwood.VMID, bool) {
 	vm, ok := w.holder(now, GroupOf(id))
 	return vm, ok && counterOf(w.handed, id).Add(now, w.share(rate))
@@ -333,7 +333,7 @@
 	return l.holder, within(now, l.heldAt, staleAfter)
 }
 
-// HasRoom reports whether a flow for a cold upstream would be admitted here or could be handed over.
+// HasRoom reports whether a flow for a cold upstream would be admitted here or could be asked for.
 func (w *Warmer) HasRoom(now time.Duration, id rattanwood.UpstreamID, rate float64) bool {
 	g := GroupOf(id)
 	if w.holds(now, g) {
@@ -368,7 +368,7 @@
 	// Rate is the number of new flows a second that it bears, and Limit the most within any second.
 	Rate  float64 `json:"rate"`
 	Limit int     `json:"limit"`
-	// Admitted and Handed are the flows that this balancer lately sent there and handed over.
+	// Admitted and Handed are the flows that this balancer lately admitted and asked another one for.
 	Admitted int `json:"admitted"`
 	Handed   int `json:"handed"`
 	// Holder is the other balancer that last said to hold the lease.
