tagger: keep open flows where their Callers' acknowledgements show them

Cause: packets of open flows went by their tag alone. Ruled out: a bit in the tag, which older builds would reset, and which doesn't say where the flow is open. Change: if the tag of a packet names another upstream than the earlier ones of its flow at this balancer, but its acknowledgement follows theirs (within 65,536; upstreams begin at random numbers), it goes where they went, with that tag, which then corrects the one that the Caller has. The reason is "kept", in metrics and logs with the flow's name: a trace of first packets that reach two upstreams. Why it works: an upstream's answer can replace the tag, not the numbers that the Caller has received. Test: TestOpenFlowsKeepTheirUpstream failed in three of six cases before.

--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -124,6 +124,10 @@
 		// Before the first routes arrive (version 0), an established flow is assumed to have a route.
 		return t.resetEstablished(now, s, NoRoute)
 	}
+	reason := Tagged
+	if id, ok := t.isOpenAt(s); ok && id != s.Tag {
+		s.Tag, reason = id, Kept
+	}
 	u := t.upstreams[s.Tag]
 	if u == nil {
 		return t.handleUnknownTag(now, s)
@@ -143,7 +147,7 @@
 	if dead {
 		return t.resetEstablished(now, s, UpstreamDead)
 	}
-	return forward(now, u, Tagged)
+	return forward(now, u, reason)
 }
 
 func (t *Tagger) handleUnknownTag(now time.Duration, s rattanwood.Segment) Verdict {
--- a/tagger/silent_test.go
+++ b/tagger/silent_test.go
@@ -223,3 +223,40 @@
 		c.Assert(f.Packet(f.now, s, []byte("first")).Instance, qt.Equals, v.Instance)
 	}
 }
+
+// TestOpenFlowsKeepTheirUpstream guards against a flow that is open at one upstream and ends at another, once two have got
+// its first packet for whatever reason: the other one's answers replace the tag, but not the numbers that the Caller
+// acknowledges.
+func TestOpenFlowsKeepTheirUpstream(t *testing.T) {
+	last := uint32(0xffffff00)
+	tests := map[string]struct {
+		ack  uint32
+		want rattanwood.UpstreamID
+	}{
+		"the same acknowledgement":           {last, 1},
+		"the next one, past the highest":     {last + 20_000, 1},
+		"an earlier one, overtaken":          {last - 1200, 1},
+		"of another flow with the same ends": {last + 1<<30, 2},
+		"none":                               {0, 2},
+		"of another flow, lower":             {last - 1<<30, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture()
+			send := func(tag rattanwood.UpstreamID, seq, ack uint32) tagger.Verdict {
+				s := segment(1, board)
+				s.Flags, s.Tag, s.Seq, s.Ack, s.Length = rattanwood.FlagAck, tag, seq, ack, 10
+				return f.Packet(f.now, s, nil)
+			}
+			c.Assert(send(2, 1, test.ack).Instance.Upstream(), qt.Equals, rattanwood.UpstreamID(2), qt.Commentf("not seen before"))
+			f.sendFirst(1, board)
+			c.Assert(send(1, 1, last).Instance.Upstream(), qt.Equals, rattanwood.UpstreamID(1), qt.Commentf("opens"))
+			f.now += 7 * time.Second
+			v := send(2, 11, test.ack)
+			c.Assert(v.Action, qt.Equals, tagger.Forward)
+			c.Assert(v.Instance.Upstream(), qt.Equals, test.want)
+			c.Assert(v.Reason == tagger.Kept, qt.Equals, test.want == 1)
+		})
+	}
+}
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -84,13 +84,16 @@
 	Evacuated
 	// Limited means that the upstreams that could take the flow are cold and may get none now.
 	Limited
+	// Kept packets carry the tag of an upstream that got their flow's first packet as well, and go to the one where the
+	// flow is open.
+	Kept
 	reasonCount
 )
 
 // String returns the name of the reason.
 func (r Reason) String() string {
 	return [...]string{
-		"tagged", "placed", "repeated", "moved", "unbound", "empty", "confined", "unknown", "dead", "untagged", "forged", "stale", "overloaded", "waking", "evacuated", "limited",
+		"tagged", "placed", "repeated", "moved", "unbound", "empty", "confined", "unknown", "dead", "untagged", "forged", "stale", "overloaded", "waking", "evacuated", "limited", "kept",
 	}[r]
 }
 
