--- a/review/standin-3/backend.go
+++ b/review/standin-3/backend.go
@@ -26,6 +26,10 @@
 	// workTime is how long a request takes, and coldTime the same while the backend is cold, one request at a time.
 	workTime, coldTime time.Duration
 
+	// loss is the share of the packets to requesters that are lost, and impaired when the last impairment ended.
+	loss     float64
+	impaired time.Time
+
 	mu       sync.Mutex
 	alive    bool
 	life     int
@@ -66,6 +70,26 @@
 	answers map[uint32][]byte
 }
 
+// drain has the backend report that it is about to leave.
+func (b *backend) drain() {
+	b.mu.Lock()
+	b.draining = true
+	b.mu.Unlock()
+	b.writeEntry(b.life)
+}
+
+func (b *backend) impair(r *run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b.impaired = time.Now()
+}
+
+func (b *backend) impairedAt(r *run) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return b.impaired
+}
+
 func (b *backend) name() string { return fmt.Sprintf("i-%010x", b.id) }
 
 func (b *backend) key() string { return "servers/" + b.name() }
@@ -122,42 +146,47 @@
 	b.run.log("backend %s life %d crashes", b.name(), b.life)
 }
 
-// beat writes the entry at once and then once in heartbeatInterval. An entry of which only the sequence differs isn't
-// changed.
+// beat writes the entry at once and then once in heartbeatInterval.
 func (b *backend) beat(life int) {
-	for {
+	for b.writeEntry(life) {
+		time.Sleep(heartbeatInterval)
+	}
+}
+
+// writeEntry writes the entry, unless only the sequence differs. It reports false if the lifetime has ended.
+func (b *backend) writeEntry(life int) bool {
+	b.mu.Lock()
+	if !b.alive || b.life != life {
+		b.mu.Unlock()
+		return false
+	}
+	b.sequence++
+	state := "ready"
+	if b.draining {
+		state = "draining"
+	}
+	remaining := max(b.cold-time.Since(b.born), 0).Milliseconds()
+	entry := func(sequence int) string {
+		return mustJSON(map[string]any{
+			"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "slots": b.slots, "state": state,
+			"warmup_remaining_ms": remaining, "sequence": sequence, "born": b.born.UnixMilli(),
+		})
+	}
+	unchanged, text := entry(0), entry(b.sequence)
+	skip := unchanged == b.entry
+	b.mu.Unlock()
+	if skip {
+		return true
+	}
+	if _, ok := b.run.store.put(b.key(), text); ok {
 		b.mu.Lock()
-		if !b.alive || b.life != life {
-			b.mu.Unlock()
-			return
+		if b.life == life {
+			b.entry = unchanged
 		}
-		b.sequence++
-		state := "ready"
-		if b.draining {
-			state = "draining"
-		}
-		remaining := max(b.cold-time.Since(b.born), 0).Milliseconds()
-		entry := func(sequence int) string {
-			return mustJSON(map[string]any{
-				"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "slots": b.slots, "state": state,
-				"warmup_remaining_ms": remaining, "sequence": sequence, "born": b.born.UnixMilli(),
-			})
-		}
-		unchanged, text := entry(0), entry(b.sequence)
-		skip := unchanged == b.entry
 		b.mu.Unlock()
-		if !skip {
-			if _, ok := b.run.store.put(b.key(), text); ok {
-				b.mu.Lock()
-				if b.life == life {
-					b.entry = unchanged
-				}
-				b.mu.Unlock()
-				b.run.log("backend %s life %d wrote its entry: %s, cold for %d ms more", b.name(), life, state, remaining)
-			}
-		}
-		time.Sleep(heartbeatInterval)
+		b.run.log("backend %s life %d wrote its entry: %s, cold for %d ms more", b.name(), life, state, remaining)
 	}
+	return true
 }
 
 func (b *backend) receive(udp *net.UDPConn, life int) {
@@ -184,6 +213,9 @@
 
 func (b *backend) send(key flowKey, p packet) {
 	p.src, p.dst = key.target, key.client
+	if rand.Float64() < b.loss {
+		return
+	}
 	_, _ = b.udp.WriteToUDPAddrPort(p.encode(true), netip.AddrPortFrom(key.client.Addr(), b.run.tunnelPort))
 }
 
@@ -303,7 +335,13 @@
 			reply := []byte(string(p.data) + "|" + b.name() + "|" + strings.Repeat(" ", 600))
 			f.answers[p.seq] = reply
 			f.seq += uint32(len(reply))
-			b.send(key, packet{flags: flagACK, seq: p.ack, ack: f.ack, echo: f.echo, data: reply})
+			flags := byte(flagACK)
+			if b.draining {
+				flags |= flagFIN
+				f.closed = true
+				b.run.closed(key)
+			}
+			b.send(key, packet{flags: flags, seq: p.ack, ack: f.ack, echo: f.echo, data: reply})
 		})
 	case p.has(flagFIN):
 		f.closed = true
--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -73,6 +73,8 @@
 	in       chan packet
 	seq, ack uint32
 	echo     uint32
+	// ended is set once the backend has closed the flow.
+	ended bool
 }
 
 // result is how a request or an attempt to open a flow ended.
@@ -156,6 +158,7 @@
 					f.seq += uint32(len(id))
 					f.ack += uint32(len(p.data))
 					f.send(packet{flags: flagACK, seq: f.seq, ack: f.ack})
+					f.ended = p.has(flagFIN)
 					return answered
 				}
 			}
@@ -181,7 +184,7 @@
 		time.Sleep(pause)
 		got = f.request(fmt.Sprintf("%s#%d.%d", f.key.client, f.seq, i), limit)
 		c.run.count(fmt.Sprintf("request %d %s", i+1, got))
-		if got != answered {
+		if got != answered || f.ended {
 			break
 		}
 	}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime"
 	"syscall"
 	"time"
 )
@@ -16,6 +15,7 @@
 
 // scenarios are those that can be played, by the name on the command line.
 var scenarios = map[string]func(*run) error{
+	"roll-copies":  rollCopies,
 	"cold-restart": coldRestart,
 	"late-start":   lateStart,
 	"moved-store":  movedStore,
@@ -26,8 +26,6 @@
 		fmt.Fprintln(os.Stderr, "usage: RATTANWOOD=PROGRAM standin-3 SCENARIO RECORD")
 		os.Exit(2)
 	}
-	// Balancers are killed when the thread that started them ends, which only the main one doesn't.
-	runtime.LockOSThread()
 	r, err := newRun(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/standin-3/router.go
+++ b/review/standin-3/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,6 +16,8 @@
 	conn  *net.UDPConn
 	mu    sync.Mutex
 	nodes []*node
+	// loss is the share of the packets that are lost.
+	loss float64
 	// last is the node that got the last packet of a flow.
 	last map[flowKey]*node
 }
@@ -95,6 +98,9 @@
 	} else if moved {
 		ro.run.note(key, "other packets now go to %s", n.name)
 	}
+	if rand.Float64() < ro.loss {
+		return
+	}
 	_, _ = ro.conn.WriteToUDPAddrPort(data, netip.MustParseAddrPort(n.tunnel))
 }
 
--- a/review/standin-3/run.go
+++ b/review/standin-3/run.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -26,6 +27,9 @@
 	backends   []*backend
 	clients    []*client
 
+	// starter takes what is to be called on the thread that starts processes.
+	starter chan func()
+
 	mu     sync.Mutex
 	record *os.File
 	ended  bool
@@ -39,6 +43,9 @@
 	// onReset is called for each reset that a requester gets. The flow's backend is nil if it isn't open.
 	onReset func(key flowKey, from string, bySystem bool, at *openFlow)
 	onOpen  func(b *backend, o opening)
+	// onTwice is called when a second backend takes a flow's SYN.
+	onTwice func(key flowKey)
+	takers  map[flowKey]*backend
 }
 
 // openFlow is where a flow is open.
@@ -77,8 +84,14 @@
 	}
 	r := &run{
 		trouble: os.Getenv("TROUBLE") != "0", dir: dir, began: time.Now(), tunnelPort: 8172, record: f,
-		counts: map[string]int{}, sent: map[flowKey]time.Time{}, openAt: map[flowKey]*openFlow{}, runs: map[string]int{}, history: map[flowKey][]string{},
+		counts: map[string]int{}, sent: map[flowKey]time.Time{}, openAt: map[flowKey]*openFlow{}, runs: map[string]int{}, history: map[flowKey][]string{}, takers: map[flowKey]*backend{}, starter: make(chan func()),
 	}
+	go func() {
+		runtime.LockOSThread()
+		for f := range r.starter {
+			f()
+		}
+	}()
 	if r.network, err = freeNetwork(); err != nil {
 		return nil, err
 	}
@@ -152,12 +165,17 @@
 func (r *run) tookOpening(b *backend, o opening) {
 	r.mu.Lock()
 	_, asked := r.sent[o.flow]
-	onOpen := r.onOpen
+	onOpen, onTwice := r.onOpen, r.onTwice
+	twice := r.takers[o.flow] != nil && r.takers[o.flow] != b
+	r.takers[o.flow] = b
 	r.mu.Unlock()
 	r.note(o.flow, "SYN taken by backend %s by way of %s", b.name(), o.via)
 	if !asked {
 		r.breakRule("UNASKED", "backend %s got a flow that no requester opened: %v", b.name(), o.flow)
 	}
+	if twice && onTwice != nil {
+		onTwice(o.flow)
+	}
 	if onOpen != nil {
 		onOpen(b, o)
 	}
@@ -258,7 +276,7 @@
 	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + r.dir, "RATTANWOOD_BOOT=" + n.settings}
 	n.cmd.Stdout, n.cmd.Stderr = n.log, n.log
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := n.cmd.Start(); err != nil {
+	if err := r.onStarter(n.cmd.Start); err != nil {
 		return err
 	}
 	r.log("node %s starts, process %d", n.name, n.cmd.Process.Pid)
@@ -353,3 +371,10 @@
 	defer r.mu.Unlock()
 	return strings.Join(r.history[key], "; ")
 }
+
+// onStarter calls a function on the thread that starts processes. They are killed when that thread ends.
+func (r *run) onStarter(f func() error) error {
+	result := make(chan error)
+	r.starter <- func() { result <- f() }
+	return <-result
+}
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -20,6 +20,8 @@
 	revision uint64
 	items    map[string]item
 	history  []item
+	// compacted is the revision up to which the history is gone.
+	compacted uint64
 	// changed is closed and replaced with each change.
 	changed chan struct{}
 	// down makes every call hang without an answer, as behind a silent partition.
@@ -209,7 +211,7 @@
 	defer end.Stop()
 	for {
 		s.mu.Lock()
-		down, at, changed := s.down, s.revision, s.changed
+		down, at, changed, lost := s.down, s.revision, s.changed, after < s.compacted
 		var texts []string
 		for _, it := range s.history {
 			if it.revision > after && strings.HasPrefix(it.key, q.Get("prefix")) {
@@ -220,6 +222,10 @@
 		if down {
 			hang(r)
 		}
+		if lost {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(texts) == 0 {
 			select {
 			case <-changed:
