--- a/review/standin-3/rollcopies.go
+++ b/review/standin-3/rollcopies.go
@@ -12,7 +12,7 @@
 // are sent again and reach a node that has just started.
 func rollCopies(r *run) error {
 	const (
-		nodes, backends, clients = 6, 12, 50
+		nodes, backends, clients = 5, 12, 50
 		flowsPerSecond           = 1000
 		loss                     = 0.01
 		gap                      = 1300 * time.Millisecond
