--- a/review/standin-3/run.go
+++ b/review/standin-3/run.go
@@ -30,14 +30,17 @@
 	// starter takes what is to be called on the thread that starts processes.
 	starter chan func()
 
-	mu     sync.Mutex
-	record *os.File
-	ended  bool
-	broken int
-	counts map[string]int
-	sent   map[flowKey]time.Time
-	openAt map[flowKey]*openFlow
-	runs   map[string]int
+	mu sync.Mutex
+	// loss is the share of the packets from and to requesters that are lost, since lossChanged.
+	loss        float64
+	lossChanged time.Time
+	record      *os.File
+	ended       bool
+	broken      int
+	counts      map[string]int
+	sent        map[flowKey]time.Time
+	openAt      map[flowKey]*openFlow
+	runs        map[string]int
 	// history holds the steps of opening a flow.
 	history map[flowKey][]string
 	// onReset is called for each reset that a requester gets. The flow's backend is nil if it isn't open.
