--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,6 +18,7 @@
 	"roll-copies":  rollCopies,
 	"cold-restart": coldRestart,
 	"late-start":   lateStart,
+	"narrow-start": narrowStart,
 	"moved-store":  movedStore,
 }
 
--- a/review/standin-3/router.go
+++ b/review/standin-3/router.go
@@ -15,6 +15,8 @@
 	conn  *net.UDPConn
 	mu    sync.Mutex
 	nodes []*node
+	// spread is set if the nodes are asked at different times within each half a second.
+	spread bool
 	// last is the node that got the last packet of a flow.
 	last map[flowKey]*node
 }
@@ -29,29 +31,38 @@
 
 // probe asks each node twice a second whether it is ready, until the run ends.
 func (ro *router) probe() {
-	client := &http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	for ; !ro.run.over(); time.Sleep(500 * time.Millisecond) {
-		for _, n := range ro.nodes {
+	const interval = 500 * time.Millisecond
+	client := &http.Client{Timeout: interval, Transport: &http.Transport{DisableKeepAlives: true}}
+	for ; !ro.run.over(); time.Sleep(interval) {
+		for i, n := range ro.nodes {
 			go func() {
-				res, err := client.Get("http://" + n.ready + "/ready")
-				ok := err == nil && res.StatusCode == http.StatusOK
-				if err == nil {
-					_ = res.Body.Close()
-				}
-				ro.mu.Lock()
-				defer ro.mu.Unlock()
-				before := n.misses < 2
-				if n.misses++; ok {
-					n.misses = 0
-				}
-				if after := n.misses < 2; after != before {
-					ro.run.log("node %s in rotation: %t", n.name, after)
+				if ro.spread {
+					time.Sleep(time.Duration(i) * interval / time.Duration(len(ro.nodes)))
 				}
+				ro.ask(client, n)
 			}()
 		}
 	}
 }
 
+// ask asks a node whether it is ready.
+func (ro *router) ask(client *http.Client, n *node) {
+	res, err := client.Get("http://" + n.ready + "/ready")
+	ok := err == nil && res.StatusCode == http.StatusOK
+	if err == nil {
+		_ = res.Body.Close()
+	}
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	before := n.misses < 2
+	if n.misses++; ok {
+		n.misses = 0
+	}
+	if after := n.misses < 2; after != before {
+		ro.run.log("node %s in rotation: %t", n.name, after)
+	}
+}
+
 // rotation returns the nodes that get packets.
 func (ro *router) rotation() []*node {
 	ro.mu.Lock()
--- a/review/standin-3/run.go
+++ b/review/standin-3/run.go
@@ -65,7 +65,9 @@
 	settings       string
 	log            *os.File
 	cmd            *exec.Cmd
-	misses         int
+	// process is that of cmd, once it has started.
+	process *os.Process
+	misses  int
 	// impaired is when the last impairment of the node ended.
 	impaired time.Time
 }
@@ -284,7 +286,7 @@
 	}
 	r.log("node %s starts, process %d", n.name, n.cmd.Process.Pid)
 	r.mu.Lock()
-	n.impaired = time.Now()
+	n.process, n.impaired = n.cmd.Process, time.Now()
 	r.mu.Unlock()
 	return nil
 }
