messenger, tagger: have a balancer that starts learn of the others before it decides on copies

Cause: a balancer that starts doesn't know the other balancers, and acted as if it were alone. It was ready with the records but learned the members with heartbeats, in up to a second, so that a copy of a first packet which reached it found no tracker to ask and was placed on a second upstream. Bootstrap members answer a heartbeat only if the sender is new to them, which it isn't after a restart.

Ruled out: late answers (the copies are placed within the same millisecond), trackers that lost their memory (they log "flow located").

A balancer now asks the bootstrap members for their lists at once, and whoever sends it a heartbeat; it keeps copies until it knows the fleet or the Caller is about to send the next one, isn't ready until another balancer has answered, and announces itself. The trackers that it tells and asks are then those of the others.

TestRestartedNodeTracksAgain fails without the announcement: vm-7 is missing among the trackers at vm-4. The tests of the tagger need the new calls.

TestOverheadIsCounted expected one message at the first tick, of which there are two now; it checks the bytes of both.

--- a/balancer/message.go
+++ b/balancer/message.go
@@ -192,6 +192,7 @@
 		b.send(now, limiter.State, m, &wire.Envelope{Body: &wire.Envelope_Marks{Marks: w}})
 	}
 	if p.GetRoster() {
-		b.send(now, limiter.State, m, &wire.Envelope{Body: &wire.Envelope_Roster{Roster: b.Members.BuildMemberList(now, p)}})
+		r, _ := b.Members.BuildMemberList(now, p)
+		b.send(now, limiter.State, m, &wire.Envelope{Body: &wire.Envelope_Roster{Roster: r}})
 	}
 }
--- a/detector/memberlist.go
+++ b/detector/memberlist.go
@@ -193,33 +193,36 @@
 }
 
 // BuildMemberList builds the answer to a Pull. It names this process as well, and the dead members that
-// the sender of the Pull takes for alive.
-func (d *Detector) BuildMemberList(now time.Duration, p *wire.Pull) *wire.Roster {
+// the sender of the Pull takes for alive. It reports whether the sender of the Pull then knows all members.
+func (d *Detector) BuildMemberList(now time.Duration, p *wire.Pull) (r *wire.Roster, whole bool) {
 	named := make([]*Member, 0, len(d.sorted))
 	for _, m := range d.sorted {
 		if d.inMemberList(m) {
 			named = append(named, m)
 		}
 	}
+	whole = p.GetParts() <= 1
 	if p.GetParts() > 0 {
-		named = d.unknownToSender(named, p)
+		var all bool
+		named, all = d.unknownToSender(named, p)
+		whole = whole && all
 	}
-	r := &wire.Roster{Members: []*wire.Member{d.ownEntry()}}
+	r = &wire.Roster{Members: []*wire.Member{d.ownEntry()}}
 	for _, m := range named {
 		r.Members = append(r.Members, m.entry(now))
 	}
-	return r
+	return r, whole
 }
 
 // unknownToSender returns the members that the sender of a Pull doesn't know, and the dead ones among those
-// that it does. If there are more than
-// fit, it draws some at random: peers that received different ones exchange the rest by gossip.
-func (d *Detector) unknownToSender(members []*Member, p *wire.Pull) []*Member {
+// that it does. If there are more than fit, it draws some at random and reports false: peers that received different
+// ones exchange the rest by gossip.
+func (d *Detector) unknownToSender(members []*Member, p *wire.Pull) (missing []*Member, all bool) {
 	known := make(map[uint32]bool, len(p.GetKnown()))
 	for _, hash := range p.GetKnown() {
 		known[hash] = true
 	}
-	missing := slices.DeleteFunc(members, func(m *Member) bool { return !inPart(m.Seed, p) || known[uint32(m.Seed)] })
+	missing = slices.DeleteFunc(members, func(m *Member) bool { return !inPart(m.Seed, p) || known[uint32(m.Seed)] })
 	for _, m := range d.sorted {
 		if m.State == Dead && inPart(m.Seed, p) && known[uint32(m.Seed)] {
 			missing = append(missing, m)
@@ -227,7 +230,7 @@
 	}
 	if len(missing) > maxNamedMembers {
 		d.random.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
-		missing = missing[:maxNamedMembers]
+		return missing[:maxNamedMembers], false
 	}
-	return missing
+	return missing, true
 }
--- a/detector/news.go
+++ b/detector/news.go
@@ -227,20 +227,27 @@
 	})
 }
 
+// Bootstrap returns the bootstrap members.
+func (d *Detector) Bootstrap() []*Member {
+	var out []*Member
+	for _, m := range d.sorted {
+		if m.bootstrap {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // unclaimedBootstrap returns a random bootstrap address behind which no living member is known, or nil. Halves of
 // a fleet that were partitioned for longer than the retention time find each other by such an address.
 func (d *Detector) unclaimedBootstrap() *Member {
 	claimed := map[netip.AddrPort]bool{d.cfg.Address: true}
-	var bootstrap []*Member
 	for _, m := range d.sorted {
-		switch {
-		case m.bootstrap:
-			bootstrap = append(bootstrap, m)
-		case m.State != Dead && m.DataCentre != "":
+		if !m.bootstrap && m.State != Dead && m.DataCentre != "" {
 			claimed[m.Address] = true
 		}
 	}
-	bootstrap = slices.DeleteFunc(bootstrap, func(m *Member) bool { return claimed[m.Address] || !m.distant })
+	bootstrap := slices.DeleteFunc(d.Bootstrap(), func(m *Member) bool { return claimed[m.Address] || !m.distant })
 	if len(bootstrap) == 0 {
 		return nil
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,13 +113,14 @@
 	// lastStall is the time of the last tick that was more than maxTickDelay late.
 	lastStall    time.Duration
 	shuttingDown atomic.Bool
+	// introduced is set once the messenger's introduction has been logged.
+	introduced bool
 	// packetCount is the number of packets received.
 	packetCount atomic.Int64
 	// startedForwarding is closed, and forwarding set, once the upstreams are known, so that packets of
-	// established flows can be forwarded. becameReady is closed when ready is set.
+	// established flows can be forwarded.
 	startedForwarding chan struct{}
 	forwarding        bool
-	becameReady       chan struct{}
 	// earlyUpstreams holds the upstreams that applyEarly applied, by key with their positions. It is nil once
 	// ready is set.
 	earlyUpstreams map[string]rattanwood.Position
@@ -156,7 +157,6 @@
 		forwarded:         map[tagger.Reason]bool{},
 		suspects:          make(chan rattanwood.UpstreamID, maxSuspects),
 		startedForwarding: make(chan struct{}),
-		becameReady:       make(chan struct{}),
 		earlyUpstreams:    map[string]rattanwood.Position{},
 	}
 	random := rand.New(rand.NewPCG(uint64(cfg.Incarnation), 0))
@@ -388,6 +388,11 @@
 	t := time.NewTicker(tickPeriod)
 	defer t.Stop()
 	last, swept := n.now(), n.now()
+	n.mu.Lock()
+	n.messenger.Introduce(last)
+	first := n.messenger.TakeActions()
+	n.mu.Unlock()
+	n.performActions(ctx, first)
 	for {
 		select {
 		case <-ctx.Done():
@@ -421,6 +426,7 @@
 			n.tagger.RemoveExpired(now)
 			n.applyRecords(now, fromSettled, n.copier.Expire(now))
 		}
+		n.logIntroduction(now)
 		n.becomeReady(now, fromSettled)
 		n.updateRotation(now)
 		due := n.prober.StartDueChecks(now, n.assignment)
--- a/internal/node/packets.go
+++ b/internal/node/packets.go
@@ -122,7 +122,7 @@
 func (n *Node) sendPacket(out []byte, s rattanwood.Segment, v tagger.Verdict, packet []byte) []byte {
 	var to netip.AddrPort
 	switch v.Action {
-	case tagger.Drop, tagger.Ask:
+	case tagger.Drop, tagger.Ask, tagger.Hold:
 		return out
 	case tagger.Forward:
 		out, to = n.cfg.Codec.Forward(out, packet, v.Instance), v.Address
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -111,6 +111,8 @@
 	if ok {
 		n.handleHeartbeat(now, &heartbeat)
 	}
+	n.logIntroduction(now)
+	n.becomeReady(now, e.GetVm())
 	actions := n.messenger.TakeActions()
 	n.mu.Unlock()
 	n.performActions(ctx, actions)
@@ -149,6 +151,15 @@
 	}
 }
 
+// logIntroduction logs when the other balancers are known. The calling code must hold mu.
+func (n *Node) logIntroduction(now time.Duration) {
+	if n.introduced || !n.messenger.Introduced() {
+		return
+	}
+	n.introduced = true
+	n.log.Info("other balancers known", zap.Int("members", len(n.messenger.Members.Members())), zap.Int64("after", now.Milliseconds()))
+}
+
 // performActions carries out what the messenger asks for.
 func (n *Node) performActions(ctx context.Context, actions []messenger.Action) {
 	for _, a := range actions {
--- a/internal/node/trackers_test.go
+++ b/internal/node/trackers_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -30,3 +31,29 @@
 	}
 	c.Assert(f.logs[0].contains("advice given"), qt.IsFalse)
 }
+
+// TestCopyAtRestartedNode guards against a flow that reaches two upstreams: the copy of a first packet arrives at a node that
+// has just started again, as in a rolling restart, and must go where the first one went.
+func TestCopyAtRestartedNode(t *testing.T) {
+	const flows, acknowledgement, restarted = 12, 9, 2
+	c := qt.New(t)
+	f := newFleet(c)
+	for i := range 3 {
+		f.eventually("knows the others", func() bool { return f.alive(i) == 2 })
+	}
+	f.stops[restarted]()
+	c.Assert(<-f.ended[restarted], qt.IsNil)
+	placed := map[uint16]int{}
+	for port := uint16(1); port <= flows; port++ {
+		placed[port] = f.open(0, port, "198.18.0.1:443")
+	}
+	time.Sleep(retransmissionTime)
+	f.start(restarted)
+	f.eventually("ready", func() bool { return f.get(restarted, "/ready", nil) == http.StatusOK })
+	for port := uint16(1); port <= flows; port++ {
+		p := packet(port, "198.18.0.1:443", flagOpen, 0, 1)
+		p[acknowledgement] = 1
+		f.send(restarted, p)
+		c.Assert(f.receivedBy(), qt.Equals, placed[port], qt.Commentf("flow %d", port))
+	}
+}
--- a/internal/node/web.go
+++ b/internal/node/web.go
@@ -44,24 +44,27 @@
 // Error returns the reason.
 func (e *NotReadyError) Error() string { return "not ready: " + e.Reason }
 
-// Ready fails until this balancer has all records, while it is shutting down, and while others can serve new flows but
+// Ready fails until this balancer has all records and is in touch with others, while it is shutting down, and while others can serve new flows but
 // this one can't.
 func (o *operators) Ready(context.Context) error {
 	n := o.node
 	if n.shuttingDown.Load() {
 		return genoperators.MakeUnready(&NotReadyError{Reason: "leaving"})
 	}
-	select {
-	case <-n.becameReady:
-	default:
-		return genoperators.MakeUnready(&NotReadyError{Reason: "no records"})
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.rotator.Stays() {
-		return genoperators.MakeUnready(&NotReadyError{Reason: "no upstream within reach"})
+	reason := ""
+	switch {
+	case !n.ready && !n.replica.Complete():
+		reason = "no records"
+	case !n.ready:
+		reason = "no other balancer has answered"
+	case !n.rotator.Stays():
+		reason = "no upstream within reach"
+	default:
+		return nil
 	}
-	return nil
+	return genoperators.MakeUnready(&NotReadyError{Reason: reason})
 }
 
 // Health returns whether the balancer serves, starts or shuts down, and the version of its routes.
--- a/messenger/allocation.go
+++ b/messenger/allocation.go
@@ -36,7 +36,11 @@
 
 // Trackers returns the other balancers that rendezvous hashing ranks first for a flow in the own data centre and in its
 // region: packets reach other data centres if Callers move, or if a data centre has no balancer in the fabric's rotation.
-func (m *Messenger) Trackers(flow uint64) []rattanwood.VMID {
+// It reports false until this balancer is introduced.
+func (m *Messenger) Trackers(flow uint64) (trackers []rattanwood.VMID, known bool) {
+	if !m.introduction.done {
+		return nil, false
+	}
 	own := m.cfg.Detector.DataCentre
 	var local, regional []ranked
 	// The empty name stands for this balancer.
@@ -55,13 +59,12 @@
 			regional = addRanked(regional, ranked{vm: d.VM, score: ranker.Score(flow, d.Seed)})
 		}
 	}
-	var out []rattanwood.VMID
 	for _, r := range slices.Concat(local, regional) {
-		if r.vm != "" && !slices.Contains(out, r.vm) {
-			out = append(out, r.vm)
+		if r.vm != "" && !slices.Contains(trackers, r.vm) {
+			trackers = append(trackers, r.vm)
 		}
 	}
-	return out
+	return trackers, true
 }
 
 // ranked is a balancer with its score.
--- /dev/null
+++ b/messenger/introduction.go
@@ -0,0 +1,151 @@
+package messenger
+
+import (
+	"slices"
+	"time"
+
+	"example.org/rattanwood"
+	"example.org/rattanwood/detector"
+	"example.org/rattanwood/wire"
+)
+
+const (
+	// firstPullInterval is the time between the first two requests for member lists after the start. It doubles with
+	// each.
+	firstPullInterval = 100 * time.Millisecond
+	// introductionMargin is added to the time within which the neighbours of a balancer send it a heartbeat.
+	introductionMargin = 100 * time.Millisecond
+	// maxIntroductionPeers bounds the balancers that are asked because they sent a heartbeat. A request takes 1 KB in a
+	// fleet of 300.
+	maxIntroductionPeers = 4
+	// maxIntroductionParts bounds the requests for the rest of a member list that is too long for one answer. The answers
+	// take 4 KB each.
+	maxIntroductionParts = 6
+)
+
+// introduction tells whether a balancer that has just started knows the other balancers. A member list from one that
+// knows them introduces it. Without one, it counts as introduced after a time limit: its neighbours from before the start
+// would have sent heartbeats by then.
+type introduction struct {
+	began, done bool
+	// beganAt is when Introduce was called first.
+	beganAt time.Duration
+	// answered is set once another balancer has answered.
+	answered bool
+	// pulls counts the rounds of requests to bootstrap addresses, and nextPullAt is when the next one is due.
+	pulls      int
+	nextPullAt time.Duration
+	// asked are the balancers that were asked because they sent a heartbeat.
+	asked map[rattanwood.VMID]bool
+	// source is the balancer that is asked for the rest of its member list, and parts counts the requests for that.
+	source rattanwood.VMID
+	parts  int
+	// announcing is set until the next round of heartbeats also goes to members that aren't neighbours. They may take this
+	// balancer for the process before it, which was leaving, and so wouldn't ask it for flows.
+	announcing bool
+}
+
+// Introduced reports whether this balancer knows the others, so that it finds the same trackers of a flow as they do.
+func (m *Messenger) Introduced() bool { return m.introduction.done }
+
+// InTouch reports whether another balancer has answered this one since its start, or none did within the time limit.
+func (m *Messenger) InTouch() bool { return m.introduction.done || m.introduction.answered }
+
+// Introduce asks the bootstrap members for their member lists until one answers, and ends the introduction after the time
+// limit. Tick calls it as well; a call at the start saves the time until the first Tick.
+func (m *Messenger) Introduce(now time.Duration) {
+	in := &m.introduction
+	if in.done {
+		return
+	}
+	if !in.began {
+		*in = introduction{began: true, beganAt: now, nextPullAt: now, asked: map[rattanwood.VMID]bool{}}
+	}
+	limit := m.cfg.Detector.HeartbeatInterval + introductionMargin
+	if in.answered {
+		// The balancers that have answered are new themselves. Others of the same start need less time to find each other.
+		limit = m.cfg.Detector.HeartbeatInterval / 2
+	}
+	if now-in.beganAt >= limit {
+		m.endIntroduction()
+		return
+	}
+	if in.answered || now < in.nextPullAt {
+		return
+	}
+	in.nextPullAt = now + firstPullInterval<<in.pulls
+	in.pulls++
+	for _, d := range m.Members.Bootstrap() {
+		m.introduceTo(now, d)
+	}
+}
+
+// maxAnnouncements bounds the heartbeats by which a balancer announces that it has started. They take 5 KB.
+const maxAnnouncements = 64
+
+// announce adds members that aren't among the receivers of a round of heartbeats, those of the own data centre first.
+func (m *Messenger) announce(receivers []*detector.Member) []*detector.Member {
+	m.introduction.announcing = false
+	for _, local := range []bool{true, false} {
+		for _, d := range m.Members.Members() {
+			if len(receivers) < maxAnnouncements && d.DataCentre != "" && d.State != detector.Dead &&
+				(d.DataCentre == m.cfg.Detector.DataCentre) == local && !slices.Contains(receivers, d) {
+				receivers = append(receivers, d)
+			}
+		}
+	}
+	return receivers
+}
+
+func (m *Messenger) endIntroduction() { m.introduction = introduction{began: true, done: true} }
+
+// pullAtStart asks a balancer that has sent a heartbeat for its member list, once.
+func (m *Messenger) pullAtStart(now time.Duration, sender *detector.Member) {
+	in := &m.introduction
+	if !in.began || in.source != "" || in.asked[sender.VM] || len(in.asked) >= maxIntroductionPeers {
+		return
+	}
+	in.asked[sender.VM] = true
+	m.introduceTo(now, sender)
+}
+
+// handleMemberList records the answer to a request for a member list.
+func (m *Messenger) handleMemberList(now time.Duration, sender *detector.Member, r *wire.Roster) {
+	in := &m.introduction
+	switch members := r.GetMembers(); {
+	case in.done || !in.began:
+	case r.GetWhole():
+		m.endIntroduction()
+		m.introduction.announcing = true
+		m.Members.TriggerHeartbeats()
+	case len(members) > 0 && members[0].GetAddress() == "":
+		// This is news of members.
+	default:
+		in.answered = true
+		if r.GetMore() && in.parts < maxIntroductionParts && (in.source == "" || in.source == sender.VM) {
+			in.source = sender.VM
+			in.parts++
+			m.introduceTo(now, sender)
+		}
+	}
+}
+
+// answerPull returns the answer to a request for the member list.
+func (m *Messenger) answerPull(now time.Duration, p *wire.Pull) *wire.Roster {
+	if p.GetStarting() && !m.introduction.done {
+		// All balancers may have started at once, and would overload those at the bootstrap addresses.
+		return &wire.Roster{}
+	}
+	r, whole := m.Members.BuildMemberList(now, p)
+	if m.introduction.done {
+		r.Whole, r.More = whole, !whole
+	}
+	return r
+}
+
+// introduceTo asks a balancer for its member list.
+func (m *Messenger) introduceTo(now time.Duration, to *detector.Member) {
+	p := m.Members.BuildPull()
+	p.Starting = true
+	m.send(now, to, &wire.Envelope{Body: &wire.Envelope_Pull{Pull: p}})
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -183,6 +183,7 @@
 	assignments      *assignments
 	rankedGeneration uint64
 	settling         settling
+	introduction     introduction
 	// eligible are the members that take part in the rankings by data centre, as of eligibleGeneration.
 	eligible           map[rattanwood.DataCentre][]*detector.Member
 	eligibleGeneration uint64
@@ -238,6 +239,7 @@
 // Tick sends the heartbeats and indirect probes that are due. It calls payload only if there are
 // heartbeats to send.
 func (m *Messenger) Tick(now time.Duration, payload func() HeartbeatPayload) {
+	m.Introduce(now)
 	if m.Members.HasNews() {
 		m.spreadNames(now)
 	}
@@ -251,6 +253,9 @@
 	if len(receivers) == 0 {
 		return
 	}
+	if m.introduction.announcing {
+		receivers = m.announce(receivers)
+	}
 	if news := m.Members.TakeNews(now); news != nil {
 		for _, to := range receivers {
 			m.send(now, to, &wire.Envelope{Body: &wire.Envelope_Roster{Roster: news}})
@@ -268,6 +273,7 @@
 		if to.Version < rattanwood.Version(p.Position) {
 			heartbeat.Prior, heartbeat.Records, heartbeat.Packed = shared.Prior, shared.Records, shared.Packed
 		}
+		heartbeat.Starting = !m.introduction.done
 		heartbeat.Failing, heartbeat.Dead = shared.Failing, shared.Dead
 		// Heartbeats to members that aren't neighbours (courtesy) carry no loads, to save bandwidth.
 		// Those in other data centres need them less often, since few flows leave a data centre.
--- a/messenger/overhead_test.go
+++ b/messenger/overhead_test.go
@@ -17,6 +17,7 @@
 
 // TestOverheadIsCounted checks that the bytes added to each message count against the budget.
 func TestOverheadIsCounted(t *testing.T) {
+	messages := 0
 	sent := func(overhead func() int) uint64 {
 		m := messenger.New(messenger.Config{
 			Detector: detector.Config{
@@ -29,10 +30,12 @@
 		})
 		m.Members.AddBootstrap("b", netip.MustParseAddrPort("192.0.2.2:1"))
 		m.Tick(time.Second, func() messenger.HeartbeatPayload { return messenger.HeartbeatPayload{} })
-		qt.Assert(t, m.TakeActions(), qt.HasLen, 1)
+		messages = len(m.TakeActions())
 		return m.Limiter.SentBytes(limiter.Liveness)
 	}
-	qt.Assert(t, sent(func() int { return 28 })-sent(nil), qt.Equals, uint64(28))
+	more := sent(func() int { return 28 }) - sent(nil)
+	qt.Assert(t, messages, qt.Equals, 2, qt.Commentf("a heartbeat and the request for a member list"))
+	qt.Assert(t, more, qt.Equals, uint64(2*28))
 }
 
 // TestAnswersAreShort bounds the answers of which a balancer that counts for a busy service sends one for each flow: with
--- a/messenger/receive.go
+++ b/messenger/receive.go
@@ -40,10 +40,11 @@
 			m.lastPull = 0
 			m.spreadNames(now)
 		}
+		m.handleMemberList(now, sender, body.Roster)
 	case *wire.Envelope_Ballot:
 		m.handleBallot(now, sender, body.Ballot)
 	case *wire.Envelope_Pull:
-		m.send(now, sender, &wire.Envelope{Body: &wire.Envelope_Roster{Roster: m.Members.BuildMemberList(now, body.Pull)}})
+		m.send(now, sender, &wire.Envelope{Body: &wire.Envelope_Roster{Roster: m.answerPull(now, body.Pull)}})
 	}
 	return Heartbeat{}, false
 }
@@ -71,7 +72,12 @@
 	if m.cfg.Warmer != nil {
 		m.cfg.Warmer.HearPeer()
 	}
-	if diff.Members && (m.lastPull == 0 || now-m.lastPull >= pullInterval) {
+	switch {
+	case m.introduction.done && message.GetStarting():
+		// The sender names the members that it has learned of so far, which are known here.
+	case !m.introduction.done && !message.GetStarting():
+		m.pullAtStart(now, sender)
+	case diff.Members && (m.lastPull == 0 || now-m.lastPull >= pullInterval):
 		m.lastPull = now
 		m.send(now, sender, &wire.Envelope{Body: &wire.Envelope_Pull{Pull: m.Members.BuildPull()}})
 	}
--- a/messenger/trackers_test.go
+++ b/messenger/trackers_test.go
@@ -1,6 +1,8 @@
 package messenger_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,7 +21,8 @@
 		found := map[rattanwood.VMID]int{}
 		local := map[int]map[rattanwood.VMID]bool{}
 		for _, n := range f.nodes {
-			trackers := n.messenger.Trackers(flow)
+			trackers, known := n.messenger.Trackers(flow)
+			c.Assert(known, qt.IsTrue)
 			c.Assert(len(trackers) >= 1 && len(trackers) <= 4, qt.IsTrue)
 			c.Assert(trackers, qt.Not(qt.Contains), n.name)
 			for _, vm := range trackers {
@@ -44,3 +47,89 @@
 		}
 	}
 }
+
+// TestRestartedNodeKnowsTheFleetSoon guards against a flow that reaches two upstreams: a node that has just started again
+// must find the same trackers as the others before copies of first packets reach it. With lists of all members from each
+// of its neighbours, it would need a multiple of the bytes.
+func TestRestartedNodeKnowsTheFleetSoon(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		nodes int
+		// unreachable is set if the node reaches no bootstrap address.
+		unreachable bool
+		within      time.Duration
+	}{
+		"15 nodes":                       {15, false, 300 * time.Millisecond},
+		"136 nodes":                      {136, false, 300 * time.Millisecond},
+		"300 nodes":                      {300, false, 300 * time.Millisecond},
+		"15 nodes, no bootstrap address": {15, true, 1100 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			f := newFleet(c, test.nodes)
+			f.run(5 * time.Second)
+			for i, restarted := range f.nodes[4:7] {
+				f.isCut = func(from, to *node) bool {
+					return test.unreachable && from == restarted && slices.Contains(f.nodes[:3], to)
+				}
+				f.setUp(restarted, 2)
+				began, received := f.now, restarted.received
+				for known := false; !known; _, known = restarted.messenger.Trackers(1) {
+					f.run(step)
+				}
+				comment := qt.Commentf("restart %d, after %v, %d bytes", i, f.now-began, restarted.received-received)
+				c.Assert(f.now-began <= test.within, qt.IsTrue, comment)
+				c.Assert(restarted.received-received < 16<<10, qt.IsTrue, comment)
+				for flow := range uint64(200) {
+					trackers, _ := restarted.messenger.Trackers(flow)
+					c.Assert(trackers, qt.DeepEquals, f.trackersOf(restarted, flow), comment)
+				}
+				f.isCut = func(*node, *node) bool { return false }
+				f.run(3 * time.Second)
+			}
+		})
+	}
+}
+
+// trackersOf returns the trackers of a flow that a node finds if it knows all others.
+func (f *fleet) trackersOf(n *node, flow uint64) []rattanwood.VMID {
+	informed := *n
+	f.setUp(&informed, 3)
+	for _, other := range f.nodes {
+		informed.messenger.Members.Add(other.name, other.address, rattanwood.DataCentre(fmt.Sprint("dc", other.dataCentre)))
+	}
+	for now := f.now; ; now += time.Second {
+		if trackers, known := informed.messenger.Trackers(flow); known {
+			return trackers
+		}
+		informed.messenger.Introduce(now)
+	}
+}
+
+// TestRestartedNodeTracksAgain guards against a flow that reaches two upstreams: in a small fleet whose nodes are restarted one
+// after the other, those that have started again must soon be asked for flows, or there is nobody to ask.
+func TestRestartedNodeTracksAgain(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, 12)
+	f.run(5 * time.Second)
+	for i := range f.nodes {
+		restarted := f.nodes[i]
+		f.onPayload = func(n *node, p *payload) { p.Leaving = n == restarted }
+		restarted.messenger.Members.TriggerHeartbeats()
+		f.run(1500 * time.Millisecond)
+		f.onPayload = func(*node, *payload) {}
+		f.setUp(restarted, 2)
+		f.run(300 * time.Millisecond)
+		for _, n := range f.nodes {
+			if n == restarted || n.dataCentre != restarted.dataCentre {
+				continue
+			}
+			for flow := range uint64(50) {
+				trackers, _ := n.messenger.Trackers(flow)
+				c.Assert(trackers, qt.DeepEquals, f.trackersOf(n, flow), qt.Commentf("%s at %s", restarted.name, n.name))
+			}
+		}
+	}
+}
--- a/source.go
+++ b/source.go
@@ -201,6 +201,8 @@
 	Tag UpstreamID
 	// Length is the size of the payload in bytes.
 	Length int
+	// Arrived is when the packet reached this balancer, by the clock of its process; zero if it isn't known.
+	Arrived time.Duration
 }
 
 // SegmentFlags are the control bits of a Segment.
--- a/tagger/allocate_test.go
+++ b/tagger/allocate_test.go
@@ -36,7 +36,7 @@
 }
 
 // newRankedFixture is newCountingFixture with other balancers that count and track flows.
-func newRankedFixture(ranked func(rattanwood.DataCentre, uint64) (rattanwood.VMID, bool, bool), trackers func(uint64) []rattanwood.VMID) *countingFixture {
+func newRankedFixture(ranked func(rattanwood.DataCentre, uint64) (rattanwood.VMID, bool, bool), trackers func(uint64) ([]rattanwood.VMID, bool)) *countingFixture {
 	f := &countingFixture{allocator: allocator.New(allocator.DefaultConfig())}
 	f.fixture, f.admission = newAdmittingFixture()
 	cfg := tagger.DefaultConfig()
--- a/tagger/fleet_test.go
+++ b/tagger/fleet_test.go
@@ -49,14 +49,14 @@
 		b.countingFixture = newRankedFixture(func(dc rattanwood.DataCentre, _ uint64) (rattanwood.VMID, bool, bool) {
 			counter := f.balancers[map[rattanwood.DataCentre]int{"east": 0, "west": 1}[dc]]
 			return counter.name, counter == b, true
-		}, func(flow uint64) []rattanwood.VMID {
+		}, func(flow uint64) ([]rattanwood.VMID, bool) {
 			var out []rattanwood.VMID
 			for k := range uint64(3) {
 				if tracker := f.balancers[(flow+k)%uint64(size)]; tracker != b {
 					out = append(out, tracker.name)
 				}
 			}
-			return out
+			return out, true
 		})
 		f.balancers = append(f.balancers, b)
 	}
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -10,6 +10,9 @@
 // Packet decides what to do with a packet. It copies the bytes of a flow's first packet and doesn't
 // keep those of others.
 func (t *Tagger) Packet(now time.Duration, s rattanwood.Segment, packet []byte) Verdict {
+	if s.Arrived == 0 {
+		s.Arrived = now
+	}
 	v := t.decide(now, s, packet)
 	t.counts[v.Action][v.Reason]++
 	return v
@@ -25,9 +28,6 @@
 	return t.handleEstablished(now, s)
 }
 
-// openingTime is the time within which Callers open a flow or give up.
-const openingTime = 1400 * time.Millisecond
-
 // handleOpening decides on a flow's first packet or a retransmission of it.
 func (t *Tagger) handleOpening(now time.Duration, s rattanwood.Segment, packet []byte) Verdict {
 	if t.IsResuming(now) {
@@ -50,9 +50,15 @@
 		}
 	}
 	if s.Ack > 0 {
-		if v, ok := t.handleUnknownCopy(now, s, packet, route); ok {
-			return v
-		}
+		return t.openCopy(now, s, packet, route)
+	}
+	return t.openNew(now, s, packet, route)
+}
+
+// openCopy decides on a copy of the first packet of a flow that isn't remembered here.
+func (t *Tagger) openCopy(now time.Duration, s rattanwood.Segment, packet []byte, route *rattanwood.Route) Verdict {
+	if v, ok := t.handleUnknownCopy(now, s, packet, route); ok {
+		return v
 	}
 	return t.openNew(now, s, packet, route)
 }
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -63,7 +63,7 @@
 		upstream: id, opening: true, opened: true, segment: s, packet: bytes.Clone(packet), placedAt: now, firstSeen: now, arrived: now, lastSeen: now,
 		retransmitted: s.Ack > 0 || earlier != nil && earlier.opening,
 	}
-	t.recordPlacement(now, key, id)
+	t.recordPlacement(now, key, id, s.Arrived)
 }
 
 // callerNetwork returns the network of a Caller, whose members are about as far away as each other.
@@ -133,20 +133,37 @@
 }
 
 // firstPacketIntervals are the times after which a Caller repeats a first packet, and the copy of it, that isn't
-// answered.
-var firstPacketIntervals = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond}
+// answered. It gives up after the last one.
+var firstPacketIntervals = [...]time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond}
+
+// openingTime is the time within which Callers open a flow or give up.
+const openingTime = 1400 * time.Millisecond
+
+// firstPacketInterval returns the time until a Caller repeats a first packet or a copy of it, or gives up.
+func firstPacketInterval(copies uint32) time.Duration {
+	return firstPacketIntervals[min(int(copies), len(firstPacketIntervals)-1)]
+}
+
+// sendMargin is the time before the next copy of a first packet at which the packet isn't sent any more. The trackers
+// must hear of it before the balancer that gets the copy asks them.
+const sendMargin = 25 * time.Millisecond
+
+// isExpired reports whether a flow's first packet, or a copy of it, has waited here for too long to be sent: its Caller
+// is about to repeat it, possibly by way of another balancer.
+func isExpired(now time.Duration, s rattanwood.Segment) bool {
+	return now-s.Arrived >= firstPacketInterval(s.Ack)-sendMargin
+}
 
 // copyMissed reports whether a copy of a flow's first packet should have arrived here but didn't. Another balancer
 // has probably placed the flow by it.
 func (r *recentFlow) copyMissed(now time.Duration) bool {
-	copies := int(r.segment.Ack)
-	return r.skippedCopy || copies < len(firstPacketIntervals) && now-r.lastSeen > firstPacketIntervals[copies]
+	return r.skippedCopy || now-r.lastSeen > firstPacketInterval(r.segment.Ack)
 }
 
 // recordCopy records that a copy of an opening flow's first packet arrived.
 func (r *recentFlow) recordCopy(now time.Duration, s rattanwood.Segment) {
 	r.skippedCopy = r.skippedCopy || s.Ack > r.segment.Ack+1
-	r.lastSeen, r.retransmitted, r.segment.Ack = now, true, s.Ack
+	r.lastSeen, r.retransmitted, r.segment.Ack, r.segment.Arrived = now, true, s.Ack, s.Arrived
 }
 
 // ReassignOpeningFlows chooses other upstreams for the opening flows of an upstream that doesn't
@@ -168,7 +185,7 @@
 		}
 		t.cfg.Placer.AddFlow(now, u.id, t.expectedRequests(r.segment.Target))
 		r.upstream, r.placedAt, r.retransmitted = u.id, now, true
-		t.recordPlacement(now, keyOf(r.segment), u.id)
+		t.recordPlacement(now, keyOf(r.segment), u.id, now)
 		t.counts[Forward][Reassigned]++
 		out = append(out, OutgoingPacket{Verdict: forward(now, u, Reassigned), Segment: r.segment, Packet: r.packet})
 	}
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -39,10 +39,12 @@
 	// Ask keeps the packet until another balancer has answered, which counts the new flows of a cold upstream or the
 	// requests under way on a group of upstreams.
 	Ask
+	// Hold keeps the packet until the other balancers are known.
+	Hold
 )
 
 // String returns the name of the action.
-func (a Action) String() string { return [...]string{"drop", "forward", "reset", "ask"}[a] }
+func (a Action) String() string { return [...]string{"drop", "forward", "reset", "ask", "hold"}[a] }
 
 // Reason is the cause of a decision.
 type Reason uint8
@@ -116,7 +118,7 @@
 type OutgoingPacket struct {
 	Verdict
 	Segment rattanwood.Segment
-	// Packet holds the bytes to send; it is set for Forward and Ask only.
+	// Packet holds the bytes to send; it is set for Forward, Ask and Hold only.
 	Packet []byte
 }
 
@@ -162,9 +164,9 @@
 	Admission Admission
 	// Allocation places flows by counts of requests under way while a service is busy; nil turns that off.
 	Allocation *AllocationConfig
-	// Trackers returns the other balancers that know where a flow with an id went if it isn't open; nil means that there
-	// are none.
-	Trackers func(flow uint64) []rattanwood.VMID
+	// Trackers returns the other balancers that know where a flow with an id went if it isn't open. It reports false while
+	// it can't tell them, since this balancer has just started. Nil means that there are none.
+	Trackers func(flow uint64) (trackers []rattanwood.VMID, known bool)
 	// Warmer limits the new flows of cold upstreams whose service states a rate; nil means no limit.
 	Warmer *warmer.Warmer
 }
@@ -293,7 +295,7 @@
 }
 
 // Counts holds the number of packets by action and reason.
-type Counts [Ask + 1][reasonCount]uint64
+type Counts [Hold + 1][reasonCount]uint64
 
 // New returns a tagger without routes and upstreams.
 func New(cfg Config) *Tagger {
--- a/tagger/tracker.go
+++ b/tagger/tracker.go
@@ -31,8 +31,8 @@
 	key      flowKey
 	id       allocator.FlowID
 	upstream rattanwood.UpstreamID
-	// since is when the first packet arrived.
-	since time.Duration
+	// arrived is when the first packet arrived.
+	arrived time.Duration
 }
 
 // PlacementReport tells a tracker where a flow went.
@@ -41,35 +41,31 @@
 	Upstream rattanwood.UpstreamID
 }
 
-// recordPlacement records where a flow went.
-func (t *Tagger) recordPlacement(now time.Duration, key flowKey, id rattanwood.UpstreamID) {
+// recordPlacement records where a flow went whose first packet, or a copy of it, arrived at a time.
+func (t *Tagger) recordPlacement(now time.Duration, key flowKey, id rattanwood.UpstreamID, arrived time.Duration) {
 	if t.cfg.Trackers == nil || len(t.placements) >= t.cfg.MaxRecentFlows {
 		return
 	}
 	flow := flowIDOf(key)
 	t.placements[flow] = placement{upstream: id, at: now}
-	t.openings = append(t.openings, openingFlow{key: key, id: flow, upstream: id, since: now})
-}
-
-// backdateOpening records that the first packet of the flow that was placed last arrived earlier. It does nothing if that
-// is another flow.
-func (t *Tagger) backdateOpening(key flowKey, since time.Duration) {
-	if i := len(t.openings) - 1; i >= 0 && t.openings[i].key == key {
-		t.openings[i].since = since
-	}
+	t.openings = append(t.openings, openingFlow{key: key, id: flow, upstream: id, arrived: arrived})
 }
 
 // TakeReports returns what the trackers of flows are to be told, by balancer.
 func (t *Tagger) TakeReports(now time.Duration) map[rattanwood.VMID][]PlacementReport {
 	var out map[rattanwood.VMID][]PlacementReport
 	t.openings = slices.DeleteFunc(t.openings, func(o openingFlow) bool {
-		if now-o.since < reportAge {
+		if now-o.arrived < reportAge {
 			return false
 		}
 		if r := t.recentFlows[o.key]; r == nil || !r.opening || r.upstream != o.upstream {
 			return true
 		}
-		for _, tracker := range t.cfg.Trackers(uint64(o.id)) {
+		trackers, known := t.cfg.Trackers(uint64(o.id))
+		if !known {
+			return now-o.arrived >= placementTTL
+		}
+		for _, tracker := range trackers {
 			if out == nil {
 				out = map[rattanwood.VMID][]PlacementReport{}
 			}
@@ -121,7 +117,10 @@
 		return v, true
 	}
 	id := flowIDOf(keyOf(s))
-	trackers := t.cfg.Trackers(uint64(id))
+	trackers, known := t.cfg.Trackers(uint64(id))
+	if !known {
+		return t.hold(now, s, packet), true
+	}
 	if len(trackers) == 0 {
 		return Verdict{}, false
 	}
--- a/tagger/tracker_test.go
+++ b/tagger/tracker_test.go
@@ -11,12 +11,97 @@
 )
 
 func newTrackedFixture() *countingFixture {
+	known := true
+	return newStartedFixture(&known)
+}
+
+// newStartedFixture returns a balancer that knows the trackers of flows while known is set.
+func newStartedFixture(known *bool) *countingFixture {
 	f := newRankedFixture(func(rattanwood.DataCentre, uint64) (rattanwood.VMID, bool, bool) { return "", true, true },
-		func(uint64) []rattanwood.VMID { return []rattanwood.VMID{"a", "b"} })
+		func(uint64) ([]rattanwood.VMID, bool) {
+			if !*known {
+				return nil, false
+			}
+			return []rattanwood.VMID{"a", "b"}, true
+		})
 	f.admission.busy = false
 	return f
 }
 
+// TestCopiesWaitUntilTrackersAreKnown guards against a flow that reaches two upstreams: its copy arrives at a balancer that
+// has just started, and must neither be placed anew nor be sent once the Caller sends the next one.
+func TestCopiesWaitUntilTrackersAreKnown(t *testing.T) {
+	tests := map[string]struct {
+		copies uint32
+		// knownAfter is the time until the trackers are known.
+		knownAfter time.Duration
+		want       tagger.Action
+	}{
+		"soon":                  {1, 50 * time.Millisecond, tagger.Ask},
+		"before the next copy":  {1, 350 * time.Millisecond, tagger.Ask},
+		"after the next copy":   {1, 400 * time.Millisecond, tagger.Drop},
+		"before the last try":   {2, 700 * time.Millisecond, tagger.Ask},
+		"once it has given up":  {2, 800 * time.Millisecond, tagger.Drop},
+		"never, the first copy": {1, time.Hour, tagger.Drop},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			known := false
+			f := newStartedFixture(&known)
+			c.Assert(f.sendCopy(1, test.copies).Action, qt.Equals, tagger.Hold)
+			var out []tagger.OutgoingPacket
+			for began := f.now; len(out) == 0 && f.now < began+time.Second; {
+				f.now += 50 * time.Millisecond
+				known = f.now-began >= test.knownAfter
+				f.Tick(f.now)
+				out = f.DecideOverdue(f.now)
+			}
+			if test.want == tagger.Drop {
+				c.Assert(out, qt.HasLen, 0)
+				return
+			}
+			c.Assert(out, qt.HasLen, 1)
+			c.Assert(out[0].Action, qt.Equals, test.want)
+			c.Assert(out[0].Request.Trackers, qt.DeepEquals, []rattanwood.VMID{"a", "b"})
+			sent := f.HandleReports(f.now, []tagger.PlacementReport{{Flow: out[0].Request.Flow, Upstream: 3}})
+			c.Assert(sent, qt.HasLen, 1)
+			c.Assert(sent[0].Instance.Upstream(), qt.Equals, rattanwood.UpstreamID(3))
+			c.Assert(sent[0].Packet, qt.DeepEquals, []byte("first"))
+		})
+	}
+}
+
+// TestHeldCopyIsReplacedByTheNext has the next copy, or the flow's next packet, arrive while a copy waits for the trackers.
+func TestHeldCopyIsReplacedByTheNext(t *testing.T) {
+	c := qt.New(t)
+	known := false
+	f := newStartedFixture(&known)
+	c.Assert(f.sendCopy(1, 1).Action, qt.Equals, tagger.Hold)
+	c.Assert(f.sendCopy(1, 2).Action, qt.Equals, tagger.Hold)
+	c.Assert(f.sendCopy(2, 1).Action, qt.Equals, tagger.Hold)
+	f.sendTagged(2, board, 4, 1)
+	known = true
+	out := f.DecideOverdue(f.now)
+	c.Assert(out, qt.HasLen, 1, qt.Commentf("the flow that went on needs no copy"))
+	c.Assert(out[0].Segment.Ack, qt.Equals, uint32(2))
+}
+
+// TestTrackersAreToldOnceKnown has a balancer that has just started place a flow that doesn't open.
+func TestTrackersAreToldOnceKnown(t *testing.T) {
+	c := qt.New(t)
+	known := false
+	f := newStartedFixture(&known)
+	v := f.sendFirst(1, board)
+	f.now += 150 * time.Millisecond
+	c.Assert(f.TakeReports(f.now), qt.HasLen, 0)
+	known = true
+	told := f.TakeReports(f.now)
+	c.Assert(told["a"], qt.HasLen, 1)
+	c.Assert(told["a"][0].Upstream, qt.Equals, v.Instance.Upstream())
+	c.Assert(f.TakeReports(f.now), qt.HasLen, 0)
+}
+
 // TestUnknownCopies has a copy of a first packet arrive at a balancer that hasn't seen the flow: it goes where a tracker
 // says, and is placed only if none knows the flow.
 func TestUnknownCopies(t *testing.T) {
--- a/tagger/waiting.go
+++ b/tagger/waiting.go
@@ -33,6 +33,8 @@
 	repeated bool
 	// unanswered is the number of trackers that haven't answered, if they were asked.
 	unanswered int
+	// held is set while the trackers of the flow can't be told, and nobody was asked.
+	held bool
 }
 
 func (w *waitingFlow) maxWait() time.Duration {
@@ -55,6 +57,15 @@
 	return Verdict{Action: Ask, Reason: reason, Peer: peer, Request: &q}, true
 }
 
+// hold has a copy of a first packet wait until the trackers of its flow can be told.
+func (t *Tagger) hold(now time.Duration, s rattanwood.Segment, packet []byte) Verdict {
+	if len(t.waiting) >= t.cfg.MaxRecentFlows {
+		return Verdict{Reason: Retransmitted}
+	}
+	t.waiting[keyOf(s)] = &waitingFlow{segment: s, packet: bytes.Clone(packet), reason: Retransmitted, since: now, held: true}
+	return Verdict{Action: Hold, Reason: Retransmitted}
+}
+
 // stopWaiting returns the flow that waits with a key, which then waits no longer, or nil.
 func (t *Tagger) stopWaiting(key flowKey) *waitingFlow {
 	w := t.waiting[key]
@@ -95,7 +106,7 @@
 func (t *Tagger) DecideOverdue(now time.Duration) []OutgoingPacket {
 	var out []OutgoingPacket
 	for key, w := range t.waiting {
-		if now-w.since >= w.maxWait() {
+		if t.isOverdue(now, w) {
 			out = append(out, t.decideWaiting(now, t.stopWaiting(key), nil)...)
 		}
 	}
@@ -103,13 +114,22 @@
 	return out
 }
 
+// isOverdue reports whether a first packet has waited for too long, or can be decided on since the trackers of its flow
+// can be told.
+func (t *Tagger) isOverdue(now time.Duration, w *waitingFlow) bool {
+	if !w.held {
+		return now-w.since >= w.maxWait()
+	}
+	_, known := t.cfg.Trackers(uint64(flowIDOf(keyOf(w.segment))))
+	return known || isExpired(now, w.segment)
+}
+
 // decideWaiting decides on a first packet after an answer, or without one if that is nil. It drops a packet that waited
 // while this process was paused: the Caller has repeated it, possibly to another balancer.
 func (t *Tagger) decideWaiting(now time.Duration, w *waitingFlow, a *Advice) []OutgoingPacket {
 	v := Verdict{Reason: Resuming}
-	if now-w.since < firstPacketIntervals[0] && !t.IsResuming(now) {
+	if !isExpired(now, w.segment) && !t.IsResuming(now) {
 		v = t.openWaiting(now, w, a)
-		t.backdateOpening(keyOf(w.segment), w.since)
 	}
 	t.counts[v.Action][v.Reason]++
 	if v.Action == Drop {
@@ -124,6 +144,9 @@
 	if route == nil {
 		return t.refuseUnrouted(now, s)
 	}
+	if w.held {
+		return t.handleOpening(now, s, w.packet)
+	}
 	if len(q.Trackers) > 0 {
 		v, ok := t.openTracked(now, s, w.packet, route)
 		if !ok {
@@ -175,6 +198,8 @@
 	switch {
 	case w.repeated:
 		return Verdict{Reason: Limited}
+	case w.held:
+		return t.openCopy(now, s, packet, route)
 	case len(w.request.Trackers) > 0:
 		return t.openNew(now, s, packet, route)
 	}
