tagger, node: send a first packet by its age since it arrived, or not at all

Cause: a first packet waited in the socket's buffer until the upstreams were known, then for the routes, each wait bounded by 150 ms and counted anew. It was sent after 210 to 260 ms, when another balancer had placed its copy on another upstream. Nothing was checked where packets are sent, so that other waits added up as well.

Each first packet has its time of arrival at the socket, which the system records (the time of day; steps of it make a packet older, never younger). It is sent until 20 ms before its Caller sends the next copy. That is checked at each decision and where the packet is sent; a flow whose packet wasn't sent is forgotten. Flows placed late are reported to their trackers before the packet is sent. Where the system records no arrival, as in the bench (its sockets take the option and give no stamp), datagrams count as old as the socket until a read has to wait.

TestFirstPacketsThatWaitedAtStartAreDropped checked the drop by a mark at the start, which is gone; the table of TestExpiredFirstPacketsAreDropped checks it for each wait.

--- a/internal/listener/datagrams_test.go
+++ b/internal/listener/datagrams_test.go
@@ -19,7 +19,9 @@
 	sender, err := net.Dial("udp4", conn.LocalAddr().String())
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = sender.Close() }()
-	d, err := listener.NewDatagrams(conn, time.Now())
+	const opened = time.Nanosecond
+	began := time.Now()
+	d, err := listener.NewDatagrams(conn, began, began.Add(opened))
 	c.Assert(err, qt.IsNil)
 	send := func(text string) {
 		_, err := sender.Write([]byte(text))
@@ -36,15 +38,72 @@
 	}
 	for _, text := range []string{"a", "b", "c"} {
 		c.Assert(read(), qt.Equals, text)
-		c.Assert(d.EmptyAt(), qt.Equals, time.Duration(0))
+		c.Assert(d.EmptyAt(), qt.Equals, opened)
+		c.Assert(d.ArrivedAt(), qt.Equals, opened, qt.Commentf("the system wasn't asked for the time of arrival"))
 	}
 	go func() {
 		time.Sleep(20 * time.Millisecond)
 		_, _ = sender.Write([]byte("d"))
 	}()
 	c.Assert(read(), qt.Equals, "d")
-	c.Assert(d.EmptyAt() > 0, qt.IsTrue)
+	c.Assert(d.EmptyAt() > opened, qt.IsTrue)
+	c.Assert(d.ArrivedAt() >= d.EmptyAt(), qt.IsTrue)
 	c.Assert(conn.Close(), qt.IsNil)
 	_, err = d.Read(buf)
 	c.Assert(err, qt.ErrorIs, net.ErrClosed)
 }
+
+// TestArrivalTimes has datagrams wait in a socket's buffer before they are read.
+func TestArrivalTimes(t *testing.T) {
+	const wait = 50 * time.Millisecond
+	c := qt.New(t)
+	conn, err := listener.UDP(netip.MustParseAddrPort("127.0.0.1:0"), 1<<16)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	c.Assert(listener.RecordArrivals(conn), qt.IsNil)
+	sender, err := net.Dial("udp4", conn.LocalAddr().String())
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = sender.Close() }()
+	began := time.Now()
+	var sent [3]time.Duration
+	for i := range sent {
+		sent[i] = time.Since(began)
+		_, err := sender.Write([]byte("a"))
+		c.Assert(err, qt.IsNil)
+		time.Sleep(wait)
+	}
+	d, err := listener.NewDatagrams(conn, began, began)
+	c.Assert(err, qt.IsNil)
+	for i := range sent {
+		_, err := d.Read(make([]byte, 10))
+		c.Assert(err, qt.IsNil)
+		// The two clocks may differ by rounding.
+		c.Assert(d.ArrivedAt() > sent[i]-time.Millisecond, qt.IsTrue, qt.Commentf("%v, sent at %v", d.ArrivedAt(), sent[i]))
+		c.Assert(time.Since(began)-d.ArrivedAt() >= wait, qt.IsTrue, qt.Commentf("%v, sent at %v", d.ArrivedAt(), sent[i]))
+	}
+}
+
+// TestArrivalBesideClockSteps checks that no step of the time of day makes a datagram younger than it is.
+func TestArrivalBesideClockSteps(t *testing.T) {
+	const emptyAt, now, day = 100 * time.Millisecond, 300 * time.Millisecond, 24 * time.Hour
+	tests := map[string]struct {
+		before, after, stamp time.Duration
+		hasWaited, stamped   bool
+		want                 time.Duration
+	}{
+		"no step":                          {day, day, day + 200*time.Millisecond, true, true, 200 * time.Millisecond},
+		"no step, in the buffer at start":  {day, day, day + 200*time.Millisecond, false, true, 200 * time.Millisecond},
+		"back while it waited":             {day, day - time.Second, day + 200*time.Millisecond, true, true, emptyAt},
+		"back a little":                    {day, day - 100*time.Millisecond, day + 200*time.Millisecond, true, true, emptyAt},
+		"forward while it waited":          {day, day + time.Second, day + 200*time.Millisecond, true, true, -800 * time.Millisecond},
+		"a stamp from the future":          {day, day, day + time.Second, true, true, now},
+		"no stamp":                         {day, day, 0, true, false, now},
+		"no stamp, in the buffer at start": {day, day, 0, false, false, emptyAt},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := listener.Arrival(emptyAt, test.before, now, test.after, test.stamp, test.hasWaited, test.stamped)
+			qt.Assert(t, got, qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/node/asks.go
+++ b/internal/node/asks.go
@@ -75,6 +75,7 @@
 // releases.
 func (n *Node) finishPackets(now time.Duration, packets []tagger.OutgoingPacket) {
 	packets, asks := n.prepareAsks(now, packets)
+	asks = append(asks, n.prepareLateReports(now)...)
 	age, _ := n.watcher.Age(now)
 	position := n.replica.Position()
 	n.mu.Unlock()
@@ -88,7 +89,7 @@
 	n.mu.Lock()
 	n.tagger.OweTally(n.now(), from)
 	n.mu.Unlock()
-	n.handlePacket(nil, h.GetPacket())
+	n.handlePacket(nil, h.GetPacket(), n.now())
 }
 
 // maxPressures bounds the pressures in a message.
--- a/internal/node/checks.go
+++ b/internal/node/checks.go
@@ -101,12 +101,14 @@
 	age, _ := n.watcher.Age(now)
 	position := n.replica.Position()
 	due := n.prober.StartDueChecks(now, n.assignment)
+	reports := n.prepareLateReports(now)
 	n.mu.Unlock()
 	n.startChecks(ctx, now, due)
 	if v.Avoid || v.Dead || v.Recovered {
 		n.log.Info("upstream health changed", zap.Stringer(logger.KeyUpstream, id), zap.Stringer(logger.KeyOutcome, outcome),
 			zap.Bool("avoid", v.Avoid), zap.Bool("dead", v.Dead), zap.Bool("well", v.Recovered), zap.Int64(logger.KeyAge, (now-began).Milliseconds()))
 	}
+	n.sendDatagrams(reports)
 	n.sendPackets(outgoing, age, position)
 }
 
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -40,8 +40,8 @@
 	// unreadable makes watches fail that have changes, as if their answers couldn't be read.
 	unreadable bool
 	calls      int
-	// listingBlocked makes listings of all records hang.
-	listingBlocked atomic.Bool
+	// listingBlocked makes listings of all records hang, and upstreamsBlocked those of upstreams.
+	listingBlocked, upstreamsBlocked atomic.Bool
 }
 
 func (s *fakeSource) write(key, value string) {
@@ -88,8 +88,11 @@
 	return s.list(after, "")
 }
 
-// ListUpstreams returns pages of two upstreams.
-func (s *fakeSource) ListUpstreams(_ context.Context, after string) (rattanwood.Page, error) {
+// ListUpstreams returns pages of two upstreams. It hangs while upstreamsBlocked is set.
+func (s *fakeSource) ListUpstreams(ctx context.Context, after string) (rattanwood.Page, error) {
+	for s.upstreamsBlocked.Load() && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
 	return s.list(after, "servers/")
 }
 
@@ -374,8 +377,8 @@
 	f.c.Assert(err, qt.IsNil)
 }
 
-// droppedAfterPause is in the log line of a first packet that a node dropped because of a pause.
-const droppedAfterPause = `"message":"flow waking"`
+// droppedAfterPause are in the log lines of first packets that a node dropped because of a pause.
+var droppedAfterPause = []string{`"message":"flow waking"`, `"message":"flow late"`, `"message":"first packet not sent`}
 
 const (
 	// retransmissionTime is the time after which a Caller sends an unanswered first packet again.
@@ -430,7 +433,9 @@
 func (f *fleet) dropsAfterPause() int {
 	n := 0
 	for _, log := range f.logs {
-		n += len(log.linesWith(droppedAfterPause))
+		for _, text := range droppedAfterPause {
+			n += len(log.linesWith(text))
+		}
 	}
 	return n
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,9 +137,11 @@
 	background sync.WaitGroup
 	seal       seal
 	tunnel     *net.UDPConn
-	peerUDP    *net.UDPConn
-	peerTCP    *net.TCPListener
-	web        *net.TCPListener
+	// tunnelOpened is when the socket for packets was opened.
+	tunnelOpened time.Time
+	peerUDP      *net.UDPConn
+	peerTCP      *net.TCPListener
+	web          *net.TCPListener
 }
 
 // New builds the decision logic and opens the balancer's sockets.
@@ -280,6 +282,10 @@
 	if n.tunnel, err = listener.UDP(set.TunnelAddress(), receiveBufferSize); err != nil {
 		return err
 	}
+	n.tunnelOpened = time.Now()
+	if err := listener.RecordArrivals(n.tunnel); err != nil {
+		n.log.Warn("arrival times of packets aren't available, those that wait at the start count as old", zap.String(logger.KeyError, err.Error()))
+	}
 	if n.peerUDP, err = listener.UDP(set.PeerAddress(), receiveBufferSize); err != nil {
 		return err
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -106,6 +106,27 @@
 	c.Assert(f.logs[0].contains("upstream removed"), qt.IsTrue)
 }
 
+// TestWaitsOfAFirstPacketAddUp guards against a flow that reaches two upstreams: at a start beside a slow source, its first
+// packet waits for the upstreams and then for the routes, each for less than the time until its copy goes to another node.
+func TestWaitsOfAFirstPacketAddUp(t *testing.T) {
+	const wait = 120 * time.Millisecond
+	c := qt.New(t)
+	f := newStoppedFleet(c)
+	f.src.upstreamsBlocked.Store(true)
+	f.src.listingBlocked.Store(true)
+	f.start(0)
+	f.send(0, packet(1, "198.18.0.1:443", flagOpen, 0, 1))
+	time.Sleep(wait)
+	f.src.upstreamsBlocked.Store(false)
+	time.Sleep(wait)
+	f.src.listingBlocked.Store(false)
+	f.eventually("ready", func() bool { return f.get(0, "/ready", nil) == http.StatusOK })
+	time.Sleep(wait)
+	c.Assert(f.received(), qt.IsFalse, qt.Commentf("the first packet that waited too long is dropped"))
+	c.Assert(f.logs[0].contains(`"message":"flow late"`), qt.IsTrue)
+	c.Assert(f.open(0, 2, "198.18.0.1:443") >= 0, qt.IsTrue)
+}
+
 // TestSourceReturnsFromOlderCopy has the source come back without the last writes: that an upstream drains, that
 // a route leads elsewhere. Nothing may go back, neither in nodes that run nor in one that starts meanwhile, and
 // what is written afterwards must be in effect, although its revisions were given out before.
--- a/internal/node/packets.go
+++ b/internal/node/packets.go
@@ -21,13 +21,9 @@
 	// maxHeldPackets bounds the first packets that wait for the routes. A balancer receives that many in a
 	// second at twice the rate for which the design is sized; they take 100 KB.
 	maxHeldPackets = 1000
-	// maxHoldTime is how long a first packet may wait for the routes. It is less than the 200 ms after which
-	// the Caller retransmits the packet, possibly by way of another balancer, which then places the flow
-	// as well.
-	maxHoldTime = 150 * time.Millisecond
 )
 
-// heldPacket is the first packet of a flow that arrived before the routes were known.
+// heldPacket is the first packet of a flow that arrived before this balancer could place flows.
 type heldPacket struct {
 	arrived  time.Duration
 	datagram []byte
@@ -41,7 +37,7 @@
 		return nil
 	case <-n.startedForwarding:
 	}
-	datagrams, err := listener.NewDatagrams(n.tunnel, n.started)
+	datagrams, err := listener.NewDatagrams(n.tunnel, n.started, n.tunnelOpened)
 	if err != nil {
 		return listener.IgnoreClosed(ctx, err)
 	}
@@ -57,23 +53,24 @@
 		n.mu.Unlock()
 		began := time.Now()
 		n.packetCount.Add(1)
-		out = n.handlePacket(out[:0], in[:size])
+		out = n.handlePacket(out[:0], in[:size], datagrams.ArrivedAt())
 		n.timings.decision.Observe(time.Since(began).Seconds())
 	}
 }
 
-// handlePacket decides on a datagram and sends the packet that the decision asks for. It builds that
-// packet in the buffer out, which it returns for reuse.
-func (n *Node) handlePacket(out, datagram []byte) []byte {
+// handlePacket decides on a datagram that arrived at a time, and sends the packet that the decision asks for. It builds
+// that packet in the buffer out, which it returns for reuse.
+func (n *Node) handlePacket(out, datagram []byte, arrived time.Duration) []byte {
 	s, err := n.cfg.Codec.Parse(datagram)
 	if err != nil {
 		n.rejectPacket(err)
 		return out
 	}
+	s.Arrived = arrived
 	n.mu.Lock()
 	now := n.now()
-	if !n.ready && s.Flags.Has(rattanwood.FlagOpen) && !n.tagger.IsResuming(now) && len(n.heldPackets) < maxHeldPackets {
-		n.heldPackets = append(n.heldPackets, heldPacket{arrived: now, datagram: bytes.Clone(datagram)})
+	if !n.ready && s.Flags.Has(rattanwood.FlagOpen) && !n.tagger.IsResuming(now) && !tagger.IsExpired(now, s) && len(n.heldPackets) < maxHeldPackets {
+		n.heldPackets = append(n.heldPackets, heldPacket{arrived: arrived, datagram: bytes.Clone(datagram)})
 		n.mu.Unlock()
 		return out
 	}
@@ -85,6 +82,7 @@
 	age, _ := n.watcher.Age(now)
 	position := n.replica.Position()
 	tallies := n.prepareTallies(now)
+	reports := n.prepareLateReports(now)
 	first := v.Action == tagger.Forward && !n.forwarded[v.Reason]
 	if first {
 		n.forwarded[v.Reason] = true
@@ -97,30 +95,37 @@
 		n.requestCheck(v.Instance.Upstream())
 	}
 	n.sendDatagrams(tallies)
+	n.sendDatagrams(reports)
 	if v.Action != tagger.Forward || v.Reason != tagger.Tagged {
 		n.logVerdict(s, v, age, position)
 	}
 	return n.sendPacket(out, s, v, datagram)
 }
 
-// replayHeldPackets handles the first packets that arrived before the routes were known, in the background.
-// It drops those that have waited too long. The calling code must hold mu.
+// replayHeldPackets handles the first packets that arrived before this balancer could place flows, in the background. The
+// calling code must hold mu.
 func (n *Node) replayHeldPackets() {
 	held := n.heldPackets
 	n.heldPackets = nil
 	n.background.Go(func() {
 		var out []byte
 		for _, p := range held {
-			if n.now()-p.arrived < maxHoldTime {
-				out = n.handlePacket(out[:0], p.datagram)
-			}
+			out = n.handlePacket(out[:0], p.datagram, p.arrived)
 		}
 	})
 }
 
-// sendPacket carries out a verdict: it forwards the packet, resets the flow or does nothing.
+// sendPacket carries out a verdict: it forwards the packet, resets the flow or does nothing. A first packet that expired
+// since the verdict, for example because this process stood still, isn't sent.
 func (n *Node) sendPacket(out []byte, s rattanwood.Segment, v tagger.Verdict, packet []byte) []byte {
 	var to netip.AddrPort
+	if v.Action == tagger.Forward && s.Flags.Has(rattanwood.FlagOpen) && tagger.IsExpired(n.now(), s) {
+		n.mu.Lock()
+		n.tagger.ForgetUnsent(s)
+		n.mu.Unlock()
+		n.log.Warn("first packet not sent, too much time since its arrival", zap.String(logger.KeyFlow, flowID(s)), zap.Stringer(logger.KeyUpstream, upstreamOf(s, v)))
+		return out
+	}
 	switch v.Action {
 	case tagger.Drop, tagger.Ask, tagger.Hold:
 		return out
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -62,10 +62,6 @@
 	if !n.forwarding {
 		n.forwarding = true
 		n.log.Info("upstreams known, forwarding established flows", zap.Int64("after", n.now().Milliseconds()))
-		if now := n.now(); now > maxHoldTime {
-			// The socket's buffer may hold first packets that were retransmitted by way of other balancers.
-			n.tagger.MarkResumed(now)
-		}
 		close(n.startedForwarding)
 	}
 }
--- a/internal/node/trackers.go
+++ b/internal/node/trackers.go
@@ -31,6 +31,15 @@
 	return out
 }
 
+// prepareLateReports is prepareReports right after a decision that was made so late that the trackers must hear of it before
+// the packet is sent. It returns nothing after other decisions, which the next tick reports. The calling code must hold mu.
+func (n *Node) prepareLateReports(now time.Duration) []messenger.Send {
+	if !n.tagger.HasLateOpening(now) {
+		return nil
+	}
+	return n.prepareReports(now)
+}
+
 // prepareSeeks returns the datagrams that ask the trackers of a flow. The calling code must hold mu.
 func (n *Node) prepareSeeks(now time.Duration, q *tagger.Request) []messenger.Send {
 	var out []messenger.Send
--- a/tagger/packet.go
+++ b/tagger/packet.go
@@ -33,6 +33,9 @@
 	if t.IsResuming(now) {
 		return Verdict{Reason: Resuming}
 	}
+	if IsExpired(now, s) {
+		return Verdict{Reason: Expired}
+	}
 	route := t.routes[s.Target]
 	if route == nil {
 		return t.refuseUnrouted(now, s)
--- a/tagger/pause.go
+++ b/tagger/pause.go
@@ -14,9 +14,6 @@
 	}
 }
 
-// MarkResumed records that packets may have waited in the socket's buffer until now.
-func (t *Tagger) MarkResumed(now time.Duration) { t.resumedAt = now }
-
 // MarkRead records that a packet was read, and that the socket's buffer was last empty at a time. If that was before the
 // end of a pause, the packet may have waited during it, however long it takes to read the buffer.
 func (t *Tagger) MarkRead(now, emptyAt time.Duration) {
--- a/tagger/pause_test.go
+++ b/tagger/pause_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"example.org/rattanwood"
 	"example.org/rattanwood/tagger"
 )
 
@@ -38,15 +39,54 @@
 	}
 }
 
-// TestFirstPacketsThatWaitedAtStartAreDropped covers a start with a slow source, during which first
-// packets wait in the socket's buffer.
-func TestFirstPacketsThatWaitedAtStartAreDropped(t *testing.T) {
+// TestExpiredFirstPacketsAreDropped guards against flows that reach two upstreams: a first packet has waited in the socket's
+// buffer and here, at a start with a slow source or while this process stood still, until its Caller sends the next copy.
+func TestExpiredFirstPacketsAreDropped(t *testing.T) {
+	tests := map[string]struct {
+		copies uint32
+		age    time.Duration
+		want   tagger.Reason
+	}{
+		"fresh":                            {0, 0, tagger.Placed},
+		"a while old":                      {0, 150 * time.Millisecond, tagger.Placed},
+		"its copy is due":                  {0, 200 * time.Millisecond, tagger.Expired},
+		"its copy is almost due":           {0, 185 * time.Millisecond, tagger.Expired},
+		"a copy, a while old":              {1, 350 * time.Millisecond, tagger.Placed},
+		"a copy, the next one is due":      {1, 400 * time.Millisecond, tagger.Expired},
+		"the last copy, a while old":       {2, 750 * time.Millisecond, tagger.Placed},
+		"the last copy, it has given up":   {2, 800 * time.Millisecond, tagger.Expired},
+		"a further copy, it has given up":  {7, 800 * time.Millisecond, tagger.Expired},
+		"fresh, by a clock that went back": {0, -time.Second, tagger.Placed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture()
+			f.now += 2 * time.Second
+			f.Confirm(f.now)
+			s := segment(1, board)
+			s.Flags, s.Ack, s.Arrived = rattanwood.FlagOpen, test.copies, f.now-test.age
+			c.Assert(f.Packet(f.now, s, []byte("first")).Reason, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestUnsentFirstPacketsAreForgotten has a first packet expire between the decision and the sending. A copy of it may go
+// elsewhere, so this balancer mustn't repeat its choice.
+func TestUnsentFirstPacketsAreForgotten(t *testing.T) {
 	c := qt.New(t)
-	f := newFixture()
-	f.MarkResumed(f.now)
-	c.Assert(f.sendFirst(1, board).Reason, qt.Equals, tagger.Resuming)
-	f.now += 60 * time.Millisecond
-	c.Assert(f.sendFirst(1, board).Reason, qt.Equals, tagger.Placed)
+	f := newTrackedFixture()
+	f.sendFirst(1, board)
+	s := segment(1, board)
+	s.Flags = rattanwood.FlagOpen
+	f.ForgetUnsent(s)
+	f.now += 200 * time.Millisecond
+	c.Assert(f.TakeReports(f.now), qt.HasLen, 0)
+	v := f.sendCopy(1, 1)
+	c.Assert(v.Action, qt.Equals, tagger.Ask)
+	f.HandleReports(f.now, []tagger.PlacementReport{{Flow: v.Request.Flow, Upstream: 3}})
+	f.ForgetUnsent(s)
+	c.Assert(f.sendCopy(1, 2).Instance.Upstream(), qt.Equals, rattanwood.UpstreamID(3), qt.Commentf("the copy was sent"))
 }
 
 // TestFirstPacketsThatWaitedAreDropped guards against flows that reach two upstreams: a small machine needs longer than
--- a/tagger/recent.go
+++ b/tagger/recent.go
@@ -146,18 +146,18 @@
 
 // sendMargin is the time before the next copy of a first packet at which the packet isn't sent any more. The trackers
 // must hear of it before the balancer that gets the copy asks them.
-const sendMargin = 25 * time.Millisecond
+const sendMargin = 20 * time.Millisecond
 
-// isExpired reports whether a flow's first packet, or a copy of it, has waited here for too long to be sent: its Caller
+// IsExpired reports whether a flow's first packet, or a copy of it, has waited here for too long to be sent: its Caller
 // is about to repeat it, possibly by way of another balancer.
-func isExpired(now time.Duration, s rattanwood.Segment) bool {
+func IsExpired(now time.Duration, s rattanwood.Segment) bool {
 	return now-s.Arrived >= firstPacketInterval(s.Ack)-sendMargin
 }
 
 // copyMissed reports whether a copy of a flow's first packet should have arrived here but didn't. Another balancer
 // has probably placed the flow by it.
 func (r *recentFlow) copyMissed(now time.Duration) bool {
-	return r.skippedCopy || now-r.lastSeen > firstPacketInterval(r.segment.Ack)
+	return r.skippedCopy || IsExpired(now, r.segment)
 }
 
 // recordCopy records that a copy of an opening flow's first packet arrived.
@@ -185,7 +185,7 @@
 		}
 		t.cfg.Placer.AddFlow(now, u.id, t.expectedRequests(r.segment.Target))
 		r.upstream, r.placedAt, r.retransmitted = u.id, now, true
-		t.recordPlacement(now, keyOf(r.segment), u.id, now)
+		t.recordPlacement(now, keyOf(r.segment), u.id, r.segment.Arrived)
 		t.counts[Forward][Reassigned]++
 		out = append(out, OutgoingPacket{Verdict: forward(now, u, Reassigned), Segment: r.segment, Packet: r.packet})
 	}
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -89,13 +89,15 @@
 	// Kept packets carry the tag of an upstream that got their flow's first packet as well, and go to the one where the
 	// flow is open.
 	Kept
+	// Expired packets are first packets that waited so long that their Callers have repeated them by now, or soon will.
+	Expired
 	reasonCount
 )
 
 // String returns the name of the reason.
 func (r Reason) String() string {
 	return [...]string{
-		"tagged", "placed", "repeated", "moved", "unbound", "empty", "confined", "unknown", "dead", "untagged", "forged", "stale", "overloaded", "waking", "evacuated", "limited", "kept",
+		"tagged", "placed", "repeated", "moved", "unbound", "empty", "confined", "unknown", "dead", "untagged", "forged", "stale", "overloaded", "waking", "evacuated", "limited", "kept", "late",
 	}[r]
 }
 
--- a/tagger/tracker.go
+++ b/tagger/tracker.go
@@ -51,6 +51,23 @@
 	t.openings = append(t.openings, openingFlow{key: key, id: flow, upstream: id, arrived: arrived})
 }
 
+// ForgetUnsent forgets where a flow was placed whose first packet wasn't sent after all. A copy of it may have been placed
+// by another balancer.
+func (t *Tagger) ForgetUnsent(s rattanwood.Segment) {
+	key := keyOf(s)
+	if r := t.recentFlows[key]; r == nil || !r.opening || r.segment.Ack != s.Ack {
+		return
+	}
+	delete(t.recentFlows, key)
+	delete(t.placements, flowIDOf(key))
+}
+
+// HasLateOpening reports whether the flow that was placed last is already due to be reported.
+func (t *Tagger) HasLateOpening(now time.Duration) bool {
+	n := len(t.openings)
+	return n > 0 && now-t.openings[n-1].arrived >= reportAge
+}
+
 // TakeReports returns what the trackers of flows are to be told, by balancer.
 func (t *Tagger) TakeReports(now time.Duration) map[rattanwood.VMID][]PlacementReport {
 	var out map[rattanwood.VMID][]PlacementReport
--- a/tagger/waiting.go
+++ b/tagger/waiting.go
@@ -121,14 +121,17 @@
 		return now-w.since >= w.maxWait()
 	}
 	_, known := t.cfg.Trackers(uint64(flowIDOf(keyOf(w.segment))))
-	return known || isExpired(now, w.segment)
+	return known || IsExpired(now, w.segment)
 }
 
 // decideWaiting decides on a first packet after an answer, or without one if that is nil. It drops a packet that waited
 // while this process was paused: the Caller has repeated it, possibly to another balancer.
 func (t *Tagger) decideWaiting(now time.Duration, w *waitingFlow, a *Advice) []OutgoingPacket {
-	v := Verdict{Reason: Resuming}
-	if !isExpired(now, w.segment) && !t.IsResuming(now) {
+	v := Verdict{Reason: Expired}
+	switch {
+	case t.IsResuming(now):
+		v.Reason = Resuming
+	case !IsExpired(now, w.segment):
 		v = t.openWaiting(now, w, a)
 	}
 	t.counts[v.Action][v.Reason]++
