messenger, node: serve at once when a whole fleet starts

Cause: a balancer that starts can't tell the stop of a fleet from its own restart. It waited for the first bootstrap address that was back (0.2 s in the median), and for a member list that nobody had.

Ruled out: a shorter limit without any answer (a lone bootstrap address that restarts would be ready before its neighbours reach it), and the checks of upstreams (the loss lies in the four seconds after the power is back).

Now first packets that reach a balancer are placed as soon as the records are there; only its readiness waits for another balancer, so that the fabric sends none there unless it has no other, or hasn't noticed the restart. Copies wait for 0.2 s if only new balancers were heard. Requests to bootstrap addresses are repeated each 0.1 s instead of at growing intervals.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -112,7 +112,6 @@
 		n.handleHeartbeat(now, &heartbeat)
 	}
 	n.logIntroduction(now)
-	n.becomeReady(now, e.GetVm())
 	actions := n.messenger.TakeActions()
 	n.mu.Unlock()
 	n.performActions(ctx, actions)
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -241,9 +241,8 @@
 // fetch take a tenth of it, also beside load.
 const maxTrustDelay = time.Second
 
-// becomeReady makes this balancer ready if the records are complete and another balancer has answered, so that it can
-// tell others where new flows went. While the source may have come back from an older copy, it waits for a peer that knows
-// what the source lost. The calling code must hold mu.
+// becomeReady makes this balancer ready if the records are complete. While the source may have come back from
+// an older copy, it waits for a peer that knows what the source lost. The calling code must hold mu.
 func (n *Node) becomeReady(now time.Duration, from string) {
 	if !n.replica.Complete() || n.ready || n.tagger.Version() == 0 {
 		return
@@ -251,7 +250,7 @@
 	if n.copyListedAt == 0 {
 		n.copyListedAt = now
 	}
-	if n.messenger.InTouch() && (n.copier.MayTrust(now) || now-n.copyListedAt >= maxTrustDelay) {
+	if n.copier.MayTrust(now) || now-n.copyListedAt >= maxTrustDelay {
 		n.ready = true
 		n.removeOutdatedUpstreams(now)
 		n.startForwarding()
--- a/internal/node/web.go
+++ b/internal/node/web.go
@@ -44,8 +44,8 @@
 // Error returns the reason.
 func (e *NotReadyError) Error() string { return "not ready: " + e.Reason }
 
-// Ready fails until this balancer has all records and is in touch with others, while it is shutting down, and while others can serve new flows but
-// this one can't.
+// Ready fails until this balancer has all records and has heard another one, while it is shutting down, and while others
+// can serve new flows but this one can't.
 func (o *operators) Ready(context.Context) error {
 	n := o.node
 	if n.shuttingDown.Load() {
@@ -55,10 +55,11 @@
 	defer n.mu.Unlock()
 	reason := ""
 	switch {
-	case !n.ready && !n.replica.Complete():
-		reason = "no records"
 	case !n.ready:
-		reason = "no other balancer has answered"
+		reason = "no records"
+	case !n.messenger.InTouch():
+		// Flows that arrive nevertheless are placed, but none should be sent here that others couldn't be told of.
+		reason = "no other balancer was heard"
 	case !n.rotator.Stays():
 		reason = "no upstream within reach"
 	default:
--- a/messenger/introduction.go
+++ b/messenger/introduction.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// firstPullInterval is the time between the first two requests for member lists after the start. It doubles with
-	// each.
-	firstPullInterval = 100 * time.Millisecond
+	// newFleetDelay is the time after the start for which a balancer that has only heard of others that have just started
+	// as well waits for one that hasn't. It is the time after which Callers repeat a first packet.
+	newFleetDelay = 200 * time.Millisecond
+	// introductionInterval is the time between two requests to the bootstrap members.
+	introductionInterval = 100 * time.Millisecond
 	// introductionMargin is added to the time within which the neighbours of a balancer send it a heartbeat.
 	introductionMargin = 100 * time.Millisecond
 	// maxIntroductionPeers bounds the balancers that are asked because they sent a heartbeat. A request takes 1 KB in a
@@ -30,11 +32,10 @@
 	began, done bool
 	// beganAt is when Introduce was called first.
 	beganAt time.Duration
-	// answered is set once another balancer has answered.
+	// answered is set once another balancer has been heard.
 	answered bool
-	// pulls counts the rounds of requests to bootstrap addresses, and nextPullAt is when the next one is due.
-	pulls      int
-	nextPullAt time.Duration
+	// nextAt is when the bootstrap members are asked again.
+	nextAt time.Duration
 	// asked are the balancers that were asked because they sent a heartbeat.
 	asked map[rattanwood.VMID]bool
 	// source is the balancer that is asked for the rest of its member list, and parts counts the requests for that.
@@ -51,30 +52,28 @@
 // InTouch reports whether another balancer has answered this one since its start, or none did within the time limit.
 func (m *Messenger) InTouch() bool { return m.introduction.done || m.introduction.answered }
 
-// Introduce asks the bootstrap members for their member lists until one answers, and ends the introduction after the time
-// limit. Tick calls it as well; a call at the start saves the time until the first Tick.
+// Introduce asks the bootstrap members for their member lists until a balancer is heard, and ends the introduction after the
+// time limit. Tick calls it as well; a call at the start saves the time until the first Tick.
 func (m *Messenger) Introduce(now time.Duration) {
 	in := &m.introduction
 	if in.done {
 		return
 	}
 	if !in.began {
-		*in = introduction{began: true, beganAt: now, nextPullAt: now, asked: map[rattanwood.VMID]bool{}}
+		*in = introduction{began: true, beganAt: now, nextAt: now, asked: map[rattanwood.VMID]bool{}}
 	}
 	limit := m.cfg.Detector.HeartbeatInterval + introductionMargin
-	if in.answered {
-		// The balancers that have answered are new themselves. Others of the same start need less time to find each other.
-		limit = m.cfg.Detector.HeartbeatInterval / 2
+	if in.answered && in.source == "" {
+		limit = newFleetDelay
 	}
 	if now-in.beganAt >= limit {
 		m.endIntroduction()
 		return
 	}
-	if in.answered || now < in.nextPullAt {
+	if in.answered || now < in.nextAt {
 		return
 	}
-	in.nextPullAt = now + firstPullInterval<<in.pulls
-	in.pulls++
+	in.nextAt = now + introductionInterval
 	for _, d := range m.Members.Bootstrap() {
 		m.introduceTo(now, d)
 	}
@@ -133,6 +132,7 @@
 // answerPull returns the answer to a request for the member list.
 func (m *Messenger) answerPull(now time.Duration, p *wire.Pull) *wire.Roster {
 	if p.GetStarting() && !m.introduction.done {
+		m.introduction.answered = true
 		// All balancers may have started at once, and would overload those at the bootstrap addresses.
 		return &wire.Roster{}
 	}
