node: read the source at the address that reloaded settings name

Cause: the client of the source was built once, from the settings at the start; a reload took over seeds and keys only.

Ruled out: that the address is fixed.

A reload with another address opens the source there, for the next call.

TestSourceMoves fails without the new assignment: "condition not met: new version".

--- a/internal/cli/balancer.go
+++ b/internal/cli/balancer.go
@@ -115,7 +115,7 @@
 		time.AfterFunc(tagGCDelay, func() { debug.SetGCPercent(tagGCPercent) })
 		n, err := node.New(node.Config{
 			Settings: set, SettingsFile: c.Settings, Incarnation: incarnation, Log: log,
-			Source: platform.NewStore(platform.Config{Address: netip.MustParseAddrPort(set.Platform), StallTimeout: node.SourceStallTimeout}), Interpreter: platform.Interpreter{},
+			OpenSource: openStore, Interpreter: platform.Interpreter{},
 			Codec: platform.Codec{Port: set.TunnelAddress().Port()}, IdentityChecker: platform.IdentityChecker{}, Reload: c.signals.reload,
 		})
 		if err != nil {
@@ -130,6 +130,11 @@
 	return s.Run(c.signals.stop)
 }
 
+// openStore returns the client of the store at an address, which is valid in settings that were parsed.
+func openStore(address string) rattanwood.Source {
+	return platform.NewStore(platform.Config{Address: netip.MustParseAddrPort(address), StallTimeout: node.SourceStallTimeout})
+}
+
 type checkCommand struct {
 	Settings string `arg:"" help:"Settings file." type:"existingfile"`
 }
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -195,6 +195,8 @@
 	admission bool
 	// source is read by nodes that are started from now on, instead of src.
 	source rattanwood.Source
+	// moved is the source at the address movedSource.
+	moved *fakeSource
 	// keyFiles are the key files of nodes that are started from now on; nodes without one have no keys.
 	keyFiles map[int]string
 	// lastPause is the Unix time in nanoseconds at which a pause of this process was last noticed.
@@ -230,6 +232,9 @@
 	return lines
 }
 
+// movedSource is an address of the source that the settings of nodes don't name at the start.
+const movedSource = "127.0.0.1:2"
+
 func ip(i int) string { return fmt.Sprintf("127.0.22.%d", i+1) }
 
 // callerIP is the address of the tests' Caller, which receives resets there.
@@ -294,7 +299,12 @@
 	reload := make(chan os.Signal, 1)
 	n, err := node.New(node.Config{
 		Settings: set, SettingsFile: file, Incarnation: rattanwood.Incarnation(time.Now().UnixNano()), Log: log,
-		Source: f.source, Interpreter: platform.Interpreter{}, Codec: platform.Codec{Port: uint16(f.ports.Tunnel)}, IdentityChecker: platform.IdentityChecker{},
+		OpenSource: func(address string) rattanwood.Source {
+			if address == movedSource {
+				return f.moved
+			}
+			return f.source
+		}, Interpreter: platform.Interpreter{}, Codec: platform.Codec{Port: uint16(f.ports.Tunnel)}, IdentityChecker: platform.IdentityChecker{},
 		Reload: reload,
 	})
 	f.c.Assert(err, qt.IsNil)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,9 +64,11 @@
 	// SettingsFile is the path of the settings file, for reloads.
 	SettingsFile string
 	// Incarnation must be higher than that of any earlier process on this VM.
-	Incarnation     rattanwood.Incarnation
-	Log             *logger.Logger
-	Source          rattanwood.Source
+	Incarnation rattanwood.Incarnation
+	Log         *logger.Logger
+	// OpenSource returns the source at an address, an IP address and a port. It is called at the start, and when the settings
+	// are reloaded with another address.
+	OpenSource      func(address string) rattanwood.Source
 	Interpreter     rattanwood.Interpreter
 	Codec           rattanwood.Codec
 	IdentityChecker rattanwood.IdentityChecker
@@ -87,14 +89,16 @@
 	warmer    *warmer.Warmer
 	// heldLeases are the groups of cold upstreams on which this balancer held the lease at the last tick.
 	heldLeases []warmer.Group
-	replica    *replicator.Replicator
-	watcher    *watcher.Watcher
-	copier     *copier.Copier
-	tagger     *tagger.Tagger
-	evacuator  *evacuator.Evacuator
-	rotator    *rotator.Rotator
-	prober     *prober.Prober
-	placer     *placer.Placer
+	// source is at the address that the settings name now.
+	source    rattanwood.Source
+	replica   *replicator.Replicator
+	watcher   *watcher.Watcher
+	copier    *copier.Copier
+	tagger    *tagger.Tagger
+	evacuator *evacuator.Evacuator
+	rotator   *rotator.Rotator
+	prober    *prober.Prober
+	placer    *placer.Placer
 	// admitter and allocator are nil unless the settings turn admission on.
 	admitter  *admitter.Admitter
 	allocator *allocator.Allocator
@@ -151,6 +155,7 @@
 		log:               cfg.Log.Logger,
 		started:           time.Now(),
 		peers:             dialer.New(),
+		source:            cfg.OpenSource(cfg.Settings.Platform),
 		replica:           replicator.New(),
 		evacuator:         evacuator.New(),
 		rotator:           rotator.New(),
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -180,6 +182,27 @@
 	c.Assert(f.get(0, "/ready", nil), qt.Equals, http.StatusOK)
 }
 
+// TestSourceMoves guards against routes that stay as they are for good: the settings name another address of the source, and
+// the one before answers no more.
+func TestSourceMoves(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c)
+	f.moved = &fakeSource{log: slices.Clone(f.src.log)}
+	for i, file := range f.files {
+		moved := strings.Replace(f.settings(i), "127.0.0.1:1", movedSource, 1)
+		c.Assert(os.WriteFile(file, []byte(moved), 0o600), qt.IsNil)
+	}
+	f.reload()
+	for i := range 3 {
+		f.eventually("reloaded", func() bool { return f.logs[i].contains("settings reloaded") })
+	}
+	f.src.set(true, false)
+	f.moved.write("op/config", fmt.Sprintf(routingJSON, 4))
+	for i := range 3 {
+		f.eventually("new version", func() bool { return f.state(i).Version == 4 })
+	}
+}
+
 // TestGracefulStop checks that a node that shuts down first reports itself as not ready, and forwards the
 // packets that still arrive.
 func TestGracefulStop(t *testing.T) {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -16,8 +16,8 @@
 const reloadPeriod = 5 * time.Second
 
 // reloadLoop reloads the settings file and the key file when they have changed, which it checks periodically and
-// on a signal. Only new bootstrap addresses (seeds) and keys are applied; all other changes need a restart. An
-// invalid file is ignored.
+// on a signal. Only the source's address, new bootstrap addresses (seeds) and keys are applied; all other changes need
+// a restart. An invalid file is ignored.
 func (n *Node) reloadLoop(ctx context.Context) error {
 	t := time.NewTicker(reloadPeriod)
 	defer t.Stop()
@@ -54,15 +54,18 @@
 		n.log.Error("invalid settings file, keeping the current settings", zap.String(logger.KeyError, err.Error()))
 		return data
 	}
-	*current = set
-	n.reload(set)
+	n.reload(current, set)
 	return data
 }
 
-// reload applies new settings.
-func (n *Node) reload(set settings.Settings) {
+// reload applies new settings and makes them the current ones. A call of the source that waits ends by itself.
+func (n *Node) reload(current *settings.Settings, set settings.Settings) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if set.Platform != current.Platform {
+		n.source = n.cfg.OpenSource(set.Platform)
+	}
 	n.addBootstrap(set)
-	n.log.Info("settings reloaded", zap.Strings("seeds", set.Seeds))
+	*current = set
+	n.log.Info("settings reloaded", zap.Strings("seeds", set.Seeds), zap.String("source", set.Platform))
 }
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -72,17 +72,17 @@
 // that of the first page's position, and the changes since then are read afterwards.
 func (n *Node) readAll(ctx context.Context) {
 	n.mu.Lock()
-	forwarding := n.forwarding
+	forwarding, source := n.forwarding, n.source
 	n.mu.Unlock()
 	if !forwarding {
-		upstreams, _, ok := n.readPages(ctx, n.cfg.Source.ListUpstreams)
+		upstreams, _, ok := n.readPages(ctx, source.ListUpstreams)
 		if !ok {
 			return
 		}
 		n.applyEarly(upstreams)
 	}
 	began := n.now()
-	records, position, ok := n.readPages(ctx, n.cfg.Source.List)
+	records, position, ok := n.readPages(ctx, source.List)
 	if !ok {
 		return
 	}
@@ -154,7 +154,7 @@
 // readChanges makes one call that waits for changes, and applies them.
 func (n *Node) readChanges(ctx context.Context) {
 	n.mu.Lock()
-	prior, began := n.replica.Position(), n.now()
+	prior, began, source := n.replica.Position(), n.now(), n.source
 	age, _ := n.watcher.Age(began)
 	n.mu.Unlock()
 	// A third of the apply deadline, as watcherConfig assumes.
@@ -166,7 +166,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
 	n.counters.sourceCalls.Add(1)
-	changes, err := n.cfg.Source.Watch(callCtx, prior, wait)
+	changes, err := source.Watch(callCtx, prior, wait)
 	n.timings.source.Observe(max(n.now()-began-wait, 0).Seconds())
 	var lost *rattanwood.LostHistoryError
 	if errors.As(err, &lost) {
