tagger, prober: count an upstream that was dead as cold

Cause: an upstream was cold only if its record said so. The source couldn't take the new record, and the one before said warm. The checks had found the upstream dead, and WarmupTime, which the configuration states, was decoded and not used.

Ruled out: to ask the upstream, whose answer to a check says nothing of its start; to count each failed check, since a cut would make all upstreams behind it cold.

An upstream that was proved dead, by checks of this balancer or of one that it hears, counts as cold from then on until WarmupTime after it answers again, if its service states a rate. A record with another start time or a remaining warm-up holds instead.

TestUpstreamsThatWereDeadAreCold fails without it: 30 flows of 30 are admitted.

--- a/internal/node/checks.go
+++ b/internal/node/checks.go
@@ -95,6 +95,9 @@
 	if v.Dead {
 		n.messenger.Members.TriggerHeartbeats()
 	}
+	if v.Dead || v.Revived {
+		n.tagger.AssumeRestart(now, id)
+	}
 	if v.Dead || v.Confirmed {
 		outgoing = append(outgoing, n.tagger.ResetFlows(id)...)
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -17,6 +17,7 @@
 	"example.org/rattanwood/detector"
 	"example.org/rattanwood/internal/listener"
 	"example.org/rattanwood/internal/logger"
+	"example.org/rattanwood/internal/settings"
 	"example.org/rattanwood/messenger"
 	"example.org/rattanwood/placer"
 	"example.org/rattanwood/prober"
@@ -136,6 +137,10 @@
 	sameDataCentre := string(heartbeat.DataCentre) == n.cfg.Settings.DataCentre
 	for _, id := range heartbeat.Failing {
 		r, _, _ := n.tagger.Upstream(id)
+		if slices.Contains(heartbeat.Dead, id) {
+			// The peer tells by its next heartbeat that it isn't dead any more.
+			n.tagger.AssumeRestart(now+settings.Duration(n.cfg.Settings.Times.HeartbeatInterval), id)
+		}
 		n.prober.AddPeerReport(now, id, prober.PeerReport{
 			SameDataCentre: sameDataCentre, AtUpstream: heartbeat.DataCentre == r.DataCentre, Dead: slices.Contains(heartbeat.Dead, id),
 		})
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -289,8 +289,8 @@
 type StateChange struct {
 	// Avoid and Dead are true if the upstream has just entered that state.
 	Avoid, Dead bool
-	// Recovered is true if the upstream has just left the Avoid state.
-	Recovered bool
+	// Recovered is true if the upstream has just left the Avoid state, and Revived if it was dead.
+	Recovered, Revived bool
 	// Confirmed is true if the upstream was dead before, and another check has failed since ConfirmDead was called.
 	Confirmed bool
 }
@@ -315,7 +315,7 @@
 		r.suspicionReported = true
 		return StateChange{}
 	}
-	wasAvoided, wasConfirming := r.shouldAvoid(), r.confirming
+	wasAvoided, wasDead, wasConfirming := r.shouldAvoid(), r.isDead(), r.confirming
 	switch o {
 	case Passed:
 		// A time of zero means never, so a check that began at time zero counts as begun at 1 ns.
@@ -336,7 +336,7 @@
 	r.confirming = false
 	change := StateChange{
 		Avoid: !wasAvoided && r.shouldAvoid(), Dead: r.isDead() && !r.deadReported, Recovered: wasAvoided && !r.shouldAvoid(),
-		Confirmed: r.isDead() && r.deadReported && wasConfirming,
+		Revived: wasDead && !r.isDead(), Confirmed: r.isDead() && r.deadReported && wasConfirming,
 	}
 	r.deadReported = r.isDead()
 	return change
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -473,3 +473,31 @@
 	_, ok = p.StartSuspectedCheck(now, 2, prober.AssignedElsewhere)
 	c.Assert(ok, qt.IsFalse, qt.Commentf("unknown upstream"))
 }
+
+// TestRevived checks which upstreams are known to have started anew: only those that were proved dead.
+func TestRevived(t *testing.T) {
+	tests := map[string]struct {
+		outcomes []prober.Outcome
+		want     bool
+	}{
+		"refused twice":         {[]prober.Outcome{prober.Refused, prober.Refused}, true},
+		"refused once":          {[]prober.Outcome{prober.Refused}, false},
+		"timed out, no traffic": {[]prober.Outcome{prober.TimedOut, prober.TimedOut, prober.TimedOut, prober.TimedOut}, false},
+		"passed":                {[]prober.Outcome{prober.Passed}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := prober.New(prober.DefaultConfig())
+			p.Add(0, 1)
+			p.Add(0, 2)
+			now := time.Second
+			for _, o := range append(test.outcomes, prober.Passed) {
+				p.RecordResult(2, now, prober.Passed)
+				now += time.Second
+				last := p.RecordResult(1, now-time.Second, o)
+				c.Assert(last.Revived, qt.Equals, o == prober.Passed && test.want)
+			}
+		})
+	}
+}
--- a/tagger/cold.go
+++ b/tagger/cold.go
@@ -60,6 +60,16 @@
 	return now < u.warmUntil && t.rate(u) > 0
 }
 
+// AssumeRestart records that an upstream is proved not to run, or has run again since. It then starts anew, and counts as
+// cold for the time that its service states, unless the source tells of the restart: it may be away.
+func (t *Tagger) AssumeRestart(now time.Duration, id rattanwood.UpstreamID) {
+	u := t.upstreams[id]
+	if u == nil || t.rate(u) == 0 {
+		return
+	}
+	u.warmUntil, u.restartAssumed = max(u.warmUntil, now+t.limits[u.Service].WarmupTime), true
+}
+
 // hasRoom reports whether an upstream may take a flow now. Balancers of other data centres don't use limited ones.
 func (t *Tagger) hasRoom(now time.Duration, u *upstream) bool {
 	return !t.isLimited(now, u) || u.DataCentre == t.cfg.DataCentre && t.cfg.Warmer.HasRoom(now, u.id, t.rate(u))
--- a/tagger/cold_test.go
+++ b/tagger/cold_test.go
@@ -242,3 +242,56 @@
 	f.evacuator.Set(f.now, "east", 1)
 	c.Assert(f.ColdUpstreams(f.now), qt.HasLen, 0)
 }
+
+// TestUpstreamsThatWereDeadAreCold guards against too many flows for a cold upstream: it crashed and starts again under its id
+// while the source is away, so that its record is that of the process before.
+func TestUpstreamsThatWereDeadAreCold(t *testing.T) {
+	const warmup = 6 * time.Second
+	tests := map[string]struct {
+		// update changes the record while the upstream counts as cold.
+		update func(r *rattanwood.Registration)
+		cold   bool
+	}{
+		"the source is away":              {nil, true},
+		"the record of before is renewed": {func(r *rattanwood.Registration) { r.Slots++ }, true},
+		"it has started long ago":         {func(r *rattanwood.Registration) { r.StartTime++ }, false},
+		"it is cold by its record":        {func(r *rattanwood.Registration) { r.StartTime++; r.RemainingWarmup = warmup }, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := warmer.New(warmer.Config{Self: "self", Incarnation: 1, Overage: 2, Slack: 2})
+			w.HearPeer()
+			f := newFixtureAt(10*time.Second, w)
+			r := routing(3)
+			limits := rattanwood.ServiceLimits{WarmupRate: 2, WarmupTime: warmup}
+			r.Services = map[rattanwood.ServiceID]rattanwood.ServiceLimits{"board": limits, "maps": limits}
+			f.SetRouting(r)
+			for caller := range 10 * coldShare {
+				c.Assert(f.sendFirst(caller+1, maps).Action, qt.Equals, tagger.Forward, qt.Commentf("warm"))
+			}
+			f.now += time.Second
+			for _, i := range []int{5, 6} {
+				f.AssumeRestart(f.now, instance(i).Upstream())
+				if test.update != nil {
+					r := registration(i)
+					test.update(&r)
+					f.SetRegistration(f.now, r)
+				}
+			}
+			w.Tick(f.now, f.ColdUpstreams(f.now), nil)
+			admitted := 0
+			for caller := range 10 * coldShare {
+				if f.sendFirst(1000+caller, maps).Action == tagger.Forward {
+					admitted++
+				}
+			}
+			c.Assert(admitted < 10*coldShare, qt.Equals, test.cold, qt.Commentf("%d flows", admitted))
+			c.Assert(admitted <= 2*coldShare, qt.Equals, test.cold, qt.Commentf("%d flows", admitted))
+			f.now += warmup
+			for caller := range 10 * coldShare {
+				c.Assert(f.sendFirst(2000+caller, maps).Action, qt.Not(qt.Equals), tagger.Reset)
+			}
+		})
+	}
+}
--- a/tagger/tagger.go
+++ b/tagger/tagger.go
@@ -203,8 +203,10 @@
 type upstream struct {
 	rattanwood.Registration
 	id rattanwood.UpstreamID
-	// warmUntil is when the upstream has warmed up, or zero if it never reported to be cold.
-	warmUntil time.Duration
+	// warmUntil is when the upstream has warmed up, or zero if it was never cold. restartAssumed is set if that rests on a
+	// restart which the source hasn't told of.
+	warmUntil      time.Duration
+	restartAssumed bool
 	// removedAt is when the registration was removed, if the upstream isn't registered.
 	removedAt  time.Duration
 	registered bool
@@ -406,11 +408,14 @@
 		u = &upstream{id: id}
 		t.upstreams[id] = u
 	}
+	if u.StartTime != r.StartTime || r.RemainingWarmup > 0 {
+		u.restartAssumed = false
+	}
 	if u.Service != r.Service {
 		t.servicesOutdated = true
 	}
 	u.Registration, u.registered = r, true
-	if r.RemainingWarmup > 0 || u.warmUntil > now {
+	if !u.restartAssumed && (r.RemainingWarmup > 0 || u.warmUntil > now) {
 		u.warmUntil = now + r.RemainingWarmup
 	}
 	t.slotsOutdated = t.slotsOutdated || result == RegistrationChanged
