messenger: rank the trackers of a flow among the other balancers

Cause: a balancer counted itself as one of a flow's two trackers and told only one other. If both it and that one leave, which the balancer with the copy may know sooner, that one asks others.

Ruled out: three trackers, which would cost a message more for each flow that doesn't open at once; this costs one more only where the balancer itself ranks among the first two.

TestTrackersWhileTwoLeave fails on the code before: "flow 6: told [vm-3], asked [vm-9]".

--- a/messenger/allocation.go
+++ b/messenger/allocation.go
@@ -43,8 +43,6 @@
 	}
 	own := m.cfg.Detector.DataCentre
 	var local, regional []ranked
-	// The empty name stands for this balancer.
-	local = addRanked(local, ranked{score: ranker.Score(flow, m.seed)})
 	for _, d := range m.eligibleIn(own) {
 		local = addRanked(local, ranked{vm: d.VM, score: ranker.Score(flow, d.Seed)})
 	}
@@ -60,7 +58,7 @@
 		}
 	}
 	for _, r := range slices.Concat(local, regional) {
-		if r.vm != "" && !slices.Contains(trackers, r.vm) {
+		if !slices.Contains(trackers, r.vm) {
 			trackers = append(trackers, r.vm)
 		}
 	}
